--- /dev/null
+++ b/model/src/main/kotlin/sycamore/model/Service.kt
@@ -0,0 +1,125 @@
+package sycamore.model
+
+import kotlinx.serialization.Serializable
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+/** What the upstreams of a service are. */
+@Serializable
+enum class ServiceKind {
+    /** Model engines, called with chat completions. */
+    MODEL,
+
+    /** Plain services, called over HTTP. */
+    SERVICE,
+}
+
+/** What the operators promise about one method of a service. */
+@Serializable
+data class Contract(
+    val method: String,
+    val path: String,
+    val idempotent: Boolean,
+    val deadline: Duration = DEFAULT_DEADLINE,
+) {
+    /** Whether this contract is about [method] on [path]. A path that ends in `*` covers all that begin with it. */
+    fun covers(
+        method: String,
+        path: String,
+    ): Boolean {
+        if (this.method != "*" && !this.method.equals(method, ignoreCase = true)) return false
+        if (this.path.endsWith("*")) return path.startsWith(this.path.dropLast(1))
+        return this.path == path
+    }
+
+    companion object {
+        /** The deadline of a call whose contract names none. */
+        val DEFAULT_DEADLINE = 60.seconds
+
+        /** What holds for a method that no contract covers: it may not be repeated. */
+        fun unknown(
+            method: String,
+            path: String,
+        ): Contract = Contract(method, path, idempotent = false)
+    }
+}
+
+/** Upper bounds of what a program and its sub-agents may spend together. */
+@Serializable
+data class Budget(
+    val tokens: Long = 1_000_000,
+    val calls: Long = 1_000,
+    val elapsed: Duration = 24.hours,
+)
+
+/**
+ * What placement weighs.
+ *
+ * @property latency the worth of one second of a program's time.
+ * @property waste the worth of one second of prefill computed again, or of its transfer across a billed link.
+ */
+@Serializable
+data class Weights(
+    val latency: Double = 1.0,
+    val waste: Double = 1.0,
+)
+
+/** One service as its file describes it. */
+@Serializable
+data class Service(
+    val name: ServiceName,
+    val kind: ServiceKind,
+    val upstreams: List<Upstream>,
+    val contracts: List<Contract> = emptyList(),
+    val budget: Budget = Budget(),
+    val weights: Weights = Weights(),
+    val idleLimit: Duration = 30.minutes,
+) {
+    /** The contract of [method] on [path]. */
+    fun contract(
+        method: String,
+        path: String,
+    ): Contract = contracts.firstOrNull { it.covers(method, path) } ?: Contract.unknown(method, path)
+}
+
+/**
+ * An account.
+ *
+ * @property salt random text that is hashed before the key.
+ * @property keyHash the digest of salt and key.
+ * @property rate calls per second, on average.
+ * @property concurrency calls in progress at once.
+ */
+@Serializable
+data class Caller(
+    val name: CallerName,
+    val salt: String,
+    val keyHash: Digest,
+    val rate: Double = 100.0,
+    val concurrency: Int = 100,
+) {
+    /** Whether [key] is this account's key. */
+    fun owns(key: String): Boolean = Digest.of((salt + key).encodeToByteArray()) == keyHash
+}
+
+/** All that one publish puts in force. */
+@Serializable
+data class Configuration(
+    val generation: Generation,
+    val publishId: String,
+    val places: List<Place>,
+    val links: List<Link>,
+    val callers: List<Caller>,
+    val services: List<Service>,
+) {
+    /** The service called [name], or null. */
+    fun service(name: ServiceName): Service? = services.firstOrNull { it.name == name }
+
+    /** The service and upstream beside which [host] runs, or null. */
+    fun upstreamOf(host: HostName): Pair<Service, Upstream>? =
+        services.firstNotNullOfOrNull { service ->
+            service.upstreams.firstOrNull { it.host == host }?.let { service to it }
+        }
+}
