Add thin links, platform clients, gate and home

Cause: the whole path needs its parts first. Change: framed CBOR links, key-value and host-list clients with stand-ins, a home that orders turns, a gate that calls the upstream.

--- /dev/null
+++ b/daemon/src/main/kotlin/sycamore/daemon/DaemonSettings.kt
@@ -0,0 +1,43 @@
+package sycamore.daemon
+
+import sycamore.model.Address
+import sycamore.model.Checked
+import sycamore.model.HostName
+import sycamore.model.PlaceName
+import sycamore.model.TomlFile
+import sycamore.model.TomlReader
+
+/**
+ * What a daemon is told at its start, by one TOML file.
+ *
+ * @property listen where links from other daemons are accepted.
+ * @property http where HTTP is served: to callers by an entry, to operators by a host.
+ * @property keyValue the platform's key-value service.
+ * @property hostList the platform's list of hosts.
+ */
+data class DaemonSettings(
+    val name: HostName,
+    val place: PlaceName,
+    val listen: Address,
+    val http: Address,
+    val keyValue: Address,
+    val hostList: Address,
+) {
+    companion object {
+        /** Reads [text] of the settings file called [file]. */
+        fun read(
+            file: String,
+            text: String,
+        ): Checked<DaemonSettings> = TomlFile.read(file, text, ::settings)
+
+        private fun settings(reader: TomlReader): DaemonSettings =
+            DaemonSettings(
+                name = HostName(reader.name("name")),
+                place = PlaceName(reader.name("place")),
+                listen = reader.address("listen"),
+                http = reader.address("http"),
+                keyValue = reader.address("key_value"),
+                hostList = reader.address("host_list"),
+            )
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/sycamore/daemon/InForce.kt
@@ -0,0 +1,68 @@
+package sycamore.daemon
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.asStateFlow
+import sycamore.model.Configuration
+import sycamore.model.Generation
+import sycamore.platform.KeyValue
+import sycamore.platform.KeyValueWire
+import sycamore.platform.Read
+import sycamore.platform.Revision
+import kotlin.time.Duration.Companion.seconds
+
+private val log = KotlinLogging.logger {}
+
+/** The configuration in force in this daemon. Its generation never goes down. */
+class InForce {
+    private val state = MutableStateFlow<Configuration?>(null)
+
+    /** The configuration, or null before the first one is known. */
+    val configuration: StateFlow<Configuration?> = state.asStateFlow()
+
+    /** The generation in force. */
+    val generation: Generation get() = state.value?.generation ?: Generation.NONE
+
+    /** Puts [offered] in force if its generation is higher; returns whether it did. */
+    fun offer(offered: Configuration): Boolean {
+        while (true) {
+            val current = state.value
+            if (current != null && current.generation >= offered.generation) return false
+            if (state.compareAndSet(current, offered)) {
+                log.info { "generation ${offered.generation} is in force" }
+                return true
+            }
+        }
+    }
+
+    /** Follows the published configuration in [keys] until cancelled. */
+    suspend fun follow(keys: KeyValue) {
+        var seen = Revision.ABSENT
+        while (true) {
+            when (val read = keys.changes(KEY, seen, WATCH)) {
+                is Read.Found -> {
+                    read.value.forEach { item -> item.value?.let { offer(decode(it)) } }
+                    seen = maxOf(seen, read.value.maxOfOrNull { it.version } ?: seen)
+                }
+                is Read.Unreachable -> delay(PAUSE)
+            }
+        }
+    }
+
+    companion object {
+        /** The key of the published configuration. */
+        const val KEY = "config/current"
+
+        private val WATCH = 30.seconds
+        private val PAUSE = 1.seconds
+
+        /** Decodes a published configuration. */
+        fun decode(bytes: ByteArray): Configuration = KeyValueWire.json.decodeFromString(bytes.decodeToString())
+
+        /** Encodes [configuration] for publishing. */
+        fun encode(configuration: Configuration): ByteArray =
+            KeyValueWire.json.encodeToString(configuration).encodeToByteArray()
+    }
+}
--- /dev/null
+++ b/host/src/main/kotlin/sycamore/host/HostDaemon.kt
@@ -0,0 +1,87 @@
+package sycamore.host
+
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.flowOf
+import sycamore.daemon.InForce
+import sycamore.daemon.Members
+import sycamore.links.AskConfiguration
+import sycamore.links.AskStatus
+import sycamore.links.Call
+import sycamore.links.ConfigurationText
+import sycamore.links.Exchange
+import sycamore.links.Forward
+import sycamore.links.HostStatus
+import sycamore.links.Message
+import sycamore.links.Refused
+import sycamore.links.Unsupported
+import sycamore.model.CallId
+import sycamore.model.HomeId
+import sycamore.model.Host
+import sycamore.model.HostName
+import sycamore.model.Service
+import sycamore.programs.Outcome
+import sycamore.programs.Refusal
+
+/** The daemon beside one upstream: gate of that upstream and home of programs. */
+internal class HostDaemon(
+    private val self: Host,
+    private val inForce: InForce,
+    private val members: Members,
+    private val exchange: Exchange,
+    private val gate: Gate,
+) {
+    private val home = Home(HomeId(self.place, self.name, self.incarnation), ::toGate)
+
+    /** Answers a message of another daemon. */
+    fun serve(
+        from: HostName,
+        message: Message,
+    ): Flow<Message> =
+        when (message) {
+            is Call -> call(message)
+            is Forward -> forward(message)
+            is AskConfiguration -> configuration(message)
+            is AskStatus -> flowOf(HostStatus(self, leaving = false, queued = 0, running = 0, inForce.generation))
+            else -> flowOf(Unsupported)
+        }
+
+    private fun call(call: Call): Flow<Message> {
+        val service = inForce.configuration.value?.service(call.service)
+        return if (service == null) notRun(call.id, "no service ${call.service}") else home.run(service, call)
+    }
+
+    private fun toGate(forward: Forward): Flow<Message> {
+        val service = inForce.configuration.value?.service(forward.service)
+        val target = service?.let(::chooseUpstream) ?: return notRun(forward.id, "no upstream of ${forward.service}")
+        if (target == self.name) return forward(forward)
+        val address = members.addressOf(target) ?: return notRun(forward.id, "host $target is not known")
+        return exchange(address, forward)
+    }
+
+    private fun chooseUpstream(service: Service): HostName? {
+        val hosts = service.upstreams.map { it.host }
+        return if (self.name in hosts) self.name else hosts.firstOrNull { members.addressOf(it) != null }
+    }
+
+    private fun forward(forward: Forward): Flow<Message> {
+        val (service, upstream) =
+            inForce.configuration.value?.upstreamOf(self.name)
+                ?: return notRun(forward.id, "host ${self.name} has no upstream")
+        return gate.run(service, upstream, forward)
+    }
+
+    private fun configuration(ask: AskConfiguration): Flow<Message> {
+        val configuration = inForce.configuration.value
+        if (configuration == null || configuration.generation <= ask.above) return flowOf()
+        return flowOf(ConfigurationText(configuration.generation, InForce.encode(configuration).decodeToString()))
+    }
+
+    private fun notRun(
+        id: CallId,
+        detail: String,
+    ): Flow<Message> = flowOf(Refused(id, Refusal(Outcome.NOT_RUN, UNAVAILABLE, detail)))
+
+    private companion object {
+        const val UNAVAILABLE = 503
+    }
+}
--- a/model/src/main/kotlin/sycamore/model/Service.kt
+++ b/model/src/main/kotlin/sycamore/model/Service.kt
@@ -75,13 +75,18 @@
     val contracts: List<Contract> = emptyList(),
     val budget: Budget = Budget(),
     val weights: Weights = Weights(),
-    val idleLimit: Duration = 30.minutes,
+    val idleLimit: Duration = DEFAULT_IDLE_LIMIT,
 ) {
     /** The contract of [method] on [path]. */
     fun contract(
         method: String,
         path: String,
     ): Contract = contracts.firstOrNull { it.covers(method, path) } ?: Contract.unknown(method, path)
+
+    companion object {
+        /** How long a program may be idle before it ends, for a service that names no limit. */
+        val DEFAULT_IDLE_LIMIT = 30.minutes
+    }
 }
 
 /**
@@ -97,11 +102,19 @@
     val name: CallerName,
     val salt: String,
     val keyHash: Digest,
-    val rate: Double = 100.0,
-    val concurrency: Int = 100,
+    val rate: Double = DEFAULT_RATE,
+    val concurrency: Int = DEFAULT_CONCURRENCY,
 ) {
     /** Whether [key] is this account's key. */
     fun owns(key: String): Boolean = Digest.of((salt + key).encodeToByteArray()) == keyHash
+
+    companion object {
+        /** Calls per second of an account whose entry names no rate. */
+        const val DEFAULT_RATE = 100.0
+
+        /** Calls in progress of an account whose entry names no concurrency. */
+        const val DEFAULT_CONCURRENCY = 100
+    }
 }
 
 /** All that one publish puts in force. */
--- /dev/null
+++ b/programs/src/main/kotlin/sycamore/programs/Answer.kt
@@ -0,0 +1,34 @@
+package sycamore.programs
+
+import kotlinx.serialization.Serializable
+
+/**
+ * The whole answer to one call, kept so that a repeat gets the same one.
+ *
+ * @property status the HTTP status of the upstream.
+ * @property body the answer text of a chat completion as UTF-8, or the body of a plain call.
+ * @property toolCalls the `tool_calls` array of a chat completion as JSON text, or null.
+ * @property finishReason as chat completions name it: `stop`, `length` or `tool_calls`; empty for a plain call.
+ */
+@Serializable
+data class Answer(
+    val status: Int,
+    val contentType: String,
+    val body: ByteArray,
+    val toolCalls: String? = null,
+    val finishReason: String = "",
+    val usage: Usage = Usage(),
+) {
+    override fun equals(other: Any?): Boolean =
+        other is Answer &&
+            status == other.status &&
+            contentType == other.contentType &&
+            body.contentEquals(other.body) &&
+            toolCalls == other.toolCalls &&
+            finishReason == other.finishReason &&
+            usage == other.usage
+
+    override fun hashCode(): Int = status * 31 + body.contentHashCode()
+
+    override fun toString(): String = "status $status, ${body.size} bytes"
+}
--- /dev/null
+++ b/programs/src/main/kotlin/sycamore/programs/Record.kt
@@ -0,0 +1,126 @@
+package sycamore.programs
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import sycamore.model.Budget
+import sycamore.model.CallId
+import sycamore.model.CallerName
+import sycamore.model.Digest
+import sycamore.model.HomeId
+import sycamore.model.HostName
+import sycamore.model.ProgramId
+import sycamore.model.ServiceName
+import kotlin.time.Instant
+
+/** One entry of a program's log. A program's state is the fold of its records in order. */
+@Serializable
+sealed interface Record {
+    val program: ProgramId
+}
+
+/** The program began. [parent] is the program that started it as a sub-agent; [root] carries the budget. */
+@Serializable
+@SerialName("started")
+data class ProgramStarted(
+    override val program: ProgramId,
+    val caller: CallerName,
+    val service: ServiceName,
+    val parent: ProgramId?,
+    val root: ProgramId,
+    val budget: Budget,
+    val at: Instant,
+) : Record
+
+/** A call took its turn. [messages] are those that it adds to the history; empty for a plain call. */
+@Serializable
+@SerialName("accepted")
+data class CallAccepted(
+    override val program: ProgramId,
+    val call: CallId,
+    val turn: Int,
+    val digest: Digest,
+    val messages: List<ChatMessage>,
+    val idempotent: Boolean,
+    val at: Instant,
+) : Record
+
+/** The call may reach the upstream beside [gate] from now on. Written before it leaves home. */
+@Serializable
+@SerialName("intent")
+data class CallIntended(
+    override val program: ProgramId,
+    val call: CallId,
+    val service: ServiceName,
+    val gate: HostName,
+    val gateIncarnation: String,
+) : Record
+
+/** The call ended with an answer. */
+@Serializable
+@SerialName("answered")
+data class CallAnswered(
+    override val program: ProgramId,
+    val call: CallId,
+    val answer: Answer,
+) : Record
+
+/** The call ended without an answer. */
+@Serializable
+@SerialName("refused")
+data class CallRefused(
+    override val program: ProgramId,
+    val call: CallId,
+    val refusal: Refusal,
+) : Record
+
+/** Part of the budget of [program], a root, is held for [call] of it or of a sub-agent. */
+@Serializable
+@SerialName("reserved")
+data class BudgetReserved(
+    override val program: ProgramId,
+    val call: CallId,
+    val tokens: Long,
+) : Record
+
+/** The reservation for [call] ended; [tokens] of it were spent. */
+@Serializable
+@SerialName("settled")
+data class BudgetSettled(
+    override val program: ProgramId,
+    val call: CallId,
+    val tokens: Long,
+) : Record
+
+/** The engine beside [host] holds or may hold cache of the program. */
+@Serializable
+@SerialName("resident")
+data class CacheHeld(
+    override val program: ProgramId,
+    val host: HostName,
+    val tokens: Long,
+) : Record
+
+/** The engine beside [host] acknowledged that it holds nothing of the program. */
+@Serializable
+@SerialName("evicted")
+data class CacheEvicted(
+    override val program: ProgramId,
+    val host: HostName,
+) : Record
+
+/** The program lives at [to] from now on. */
+@Serializable
+@SerialName("moved")
+data class ProgramMoved(
+    override val program: ProgramId,
+    val to: HomeId,
+) : Record
+
+/** The program ended; [reason] is `explicit`, `idle` or `budget`. */
+@Serializable
+@SerialName("ended")
+data class ProgramEnded(
+    override val program: ProgramId,
+    val reason: String,
+    val at: Instant,
+) : Record
--- /dev/null
+++ b/standins/src/main/kotlin/sycamore/standins/HostListServer.kt
@@ -0,0 +1,32 @@
+package sycamore.standins
+
+import org.http4k.core.HttpHandler
+import org.http4k.core.Method
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.http4k.routing.bind
+import org.http4k.routing.routes
+import sycamore.platform.HttpHostList
+import sycamore.platform.KeyValueWire
+import sycamore.platform.ListedHost
+import java.util.concurrent.atomic.AtomicReference
+
+/** Serves the platform's list of hosts. A test or demo replaces the whole list with PUT. */
+class HostListServer(
+    initial: List<ListedHost> = emptyList(),
+) {
+    private val hosts = AtomicReference(initial)
+
+    /** The HTTP interface. */
+    val handler: HttpHandler =
+        routes(
+            HttpHostList.PATH bind Method.GET to { _: Request ->
+                Response(Status.OK).body(KeyValueWire.json.encodeToString(hosts.get()))
+            },
+            HttpHostList.PATH bind Method.PUT to { request: Request ->
+                hosts.set(KeyValueWire.json.decodeFromString(request.bodyString()))
+                Response(Status.OK)
+            },
+        )
+}
