--- /dev/null
+++ b/entry/src/main/kotlin/sycamore/entry/Main.kt
@@ -0,0 +1,34 @@
+package sycamore.entry
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import org.http4k.routing.routes
+import sycamore.daemon.AdminHttp
+import sycamore.daemon.DaemonSettings
+import sycamore.daemon.Http
+import sycamore.daemon.InForce
+import sycamore.daemon.Members
+import sycamore.daemon.Program
+import sycamore.daemon.Threads
+import sycamore.links.LinkClient
+import sycamore.platform.HttpHostList
+import sycamore.platform.HttpKeyValue
+
+/** Runs an entry daemon. */
+fun main(args: Array<String>) {
+    val settings = Program.settings("sycamore-entry", args, DaemonSettings::read)
+    runBlocking(Dispatchers.Default) {
+        val http = Http.client()
+        val inForce = InForce()
+        val members = Members()
+        val links = LinkClient(settings.name)
+        launch { inForce.follow(HttpKeyValue(settings.keyValue, http, Threads.blocking)) }
+        launch { members.follow(HttpHostList.at(settings.hostList, http, Threads.blocking)) }
+        val callers = EntryHttp(this, inForce, Router(members, links::exchange))
+        val admin = AdminHttp(inForce).handler
+        Http.serve(settings.http, routes(admin, callers.handler))
+        CompletableDeferred<Unit>().await()
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/sycamore/standins/StandinSettings.kt
@@ -0,0 +1,43 @@
+package sycamore.standins
+
+import sycamore.model.Address
+import sycamore.model.Checked
+import sycamore.model.HostName
+import sycamore.model.PlaceName
+import sycamore.model.TomlFile
+import sycamore.model.TomlReader
+import sycamore.platform.ListedHost
+
+/** Which stand-ins one process runs, and where. */
+data class StandinSettings(
+    val keyValue: List<Address>,
+    val hostList: List<Address>,
+    val engines: List<Address>,
+    val orders: List<Address>,
+    val hosts: List<ListedHost>,
+) {
+    companion object {
+        /** Reads [text] of the settings file called [file]. */
+        fun read(
+            file: String,
+            text: String,
+        ): Checked<StandinSettings> = TomlFile.read(file, text, ::settings)
+
+        private fun settings(reader: TomlReader): StandinSettings =
+            StandinSettings(
+                keyValue = addresses(reader, "key_value"),
+                hostList = addresses(reader, "host_list"),
+                engines = addresses(reader, "engines"),
+                orders = addresses(reader, "orders"),
+                hosts = reader.tables("hosts").map(::host),
+            )
+
+        private fun addresses(
+            reader: TomlReader,
+            key: String,
+        ): List<Address> = reader.tables(key).map { it.address("address") }
+
+        private fun host(reader: TomlReader): ListedHost =
+            ListedHost(HostName(reader.name("name")), PlaceName(reader.name("place")), reader.address("address"))
+    }
+}
