--- /dev/null
+++ b/entry/src/main/kotlin/sycamore/entry/EntryDaemon.kt
@@ -0,0 +1,33 @@
+package sycamore.entry
+
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.flowOf
+import sycamore.links.Call
+import sycamore.links.Message
+import sycamore.links.Unsupported
+import sycamore.model.HostName
+import sycamore.model.Service
+
+/** Carries callers' calls to the homes of their programs. HTTP is on top of it, in [EntryHttp]. */
+class EntryDaemon internal constructor(
+    world: EntryWorld,
+) {
+    private val router = Router(world.members, world.exchange)
+
+    /** Runs [call] of [service] and yields its answer. */
+    fun call(
+        service: Service,
+        call: Call,
+    ): Flow<Message> = router.send(service, call)
+
+    /** Answers a message of another daemon. */
+    @Suppress("UNUSED_PARAMETER")
+    fun serve(
+        from: HostName,
+        message: Message,
+    ): Flow<Message> = flowOf(Unsupported)
+
+    /** Does the daemon's background work until cancelled. */
+    suspend fun run(): Unit = awaitCancellation()
+}
--- a/entry/src/main/kotlin/sycamore/entry/EntryHttp.kt
+++ b/entry/src/main/kotlin/sycamore/entry/EntryHttp.kt
@@ -34,7 +34,7 @@
 internal class EntryHttp(
     private val scope: CoroutineScope,
     private val inForce: InForce,
-    private val router: Router,
+    private val daemon: EntryDaemon,
     private val clock: Clock = Clock.System,
 ) {
     /** Chat completions at `/v1/chat/completions`, plain services at `/services/<name>/`. */
@@ -64,7 +64,7 @@
         val service =
             serviceFor(body.model, configuration) ?: return refuse(NOT_FOUND, "no service runs model '${body.model}'")
         val call = call(request, caller, service, Asked("POST", CHAT_PATH, body = bytes))
-        val replies = Replies(scope, router.send(service, call))
+        val replies = Replies(scope, daemon.call(service, call))
         return answer(replies) { begun ->
             val answer = ChatAnswer(call.id.value, body.model, clock.now().epochSeconds)
             if (body.isStream) streamed(replies, begun, answer) else whole(replies, answer)
@@ -91,7 +91,7 @@
         val path = "/" + request.path("path").orEmpty()
         val type = request.header("content-type") ?: "application/octet-stream"
         val asked = Asked(request.method.name, path, type, request.body.stream.readBytes())
-        val replies = Replies(scope, router.send(service, call(request, caller, service, asked)))
+        val replies = Replies(scope, daemon.call(service, call(request, caller, service, asked)))
         return answer(replies) { begun ->
             Response(Status(begun.status, null))
                 .header("content-type", begun.contentType)
--- a/entry/src/main/kotlin/sycamore/entry/Main.kt
+++ b/entry/src/main/kotlin/sycamore/entry/Main.kt
@@ -13,6 +13,9 @@
 import sycamore.daemon.Program
 import sycamore.daemon.Threads
 import sycamore.links.LinkClient
+import sycamore.links.LinkServer
+import sycamore.model.Host
+import sycamore.model.Incarnation
 import sycamore.platform.HttpHostList
 import sycamore.platform.HttpKeyValue
 
@@ -24,9 +27,20 @@
         val inForce = InForce()
         val members = Members()
         val links = LinkClient(settings.name)
-        launch { inForce.follow(HttpKeyValue(settings.keyValue, http, Threads.blocking)) }
+        val keys = HttpKeyValue(settings.keyValue, http, Threads.blocking)
+        val self = Host(settings.name, settings.place, settings.listen, Incarnation.random())
+        val daemon =
+            entryDaemon(self) {
+                this.inForce = inForce
+                this.members = members
+                this.keys = keys
+                exchange = links::exchange
+            }
+        launch { inForce.follow(keys) }
+        launch { daemon.run() }
         launch { members.follow(HttpHostList.at(settings.hostList, http, Threads.blocking)) }
-        val callers = EntryHttp(this, inForce, Router(members, links::exchange))
+        LinkServer.listen(settings.name, settings.listen, daemon::serve)
+        val callers = EntryHttp(this, inForce, daemon)
         val admin = AdminHttp(inForce).handler
         Http.serve(settings.http, routes(admin, callers.handler))
         CompletableDeferred<Unit>().await()
--- a/host/src/main/kotlin/sycamore/host/HostDaemon.kt
+++ b/host/src/main/kotlin/sycamore/host/HostDaemon.kt
@@ -1,14 +1,13 @@
 package sycamore.host
 
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.flowOf
 import sycamore.daemon.InForce
-import sycamore.daemon.Members
 import sycamore.links.AskConfiguration
 import sycamore.links.AskStatus
 import sycamore.links.Call
 import sycamore.links.ConfigurationText
-import sycamore.links.Exchange
 import sycamore.links.Forward
 import sycamore.links.HostStatus
 import sycamore.links.Message
@@ -16,25 +15,25 @@
 import sycamore.links.Unsupported
 import sycamore.model.CallId
 import sycamore.model.HomeId
-import sycamore.model.Host
 import sycamore.model.HostName
 import sycamore.model.Service
 import sycamore.programs.Outcome
 import sycamore.programs.Refusal
 
 /** The daemon beside one upstream: gate of that upstream and home of programs. */
-internal class HostDaemon(
-    private val self: Host,
-    private val inForce: InForce,
-    private val members: Members,
-    private val exchange: Exchange,
-    private val gate: Gate,
+class HostDaemon internal constructor(
+    world: HostWorld,
 ) {
+    private val self = world.self
+    private val inForce = world.inForce
+    private val members = world.members
+    private val exchange = world.exchange
+    private val gate = Gate(world.engine, world.service)
     private val home = Home(HomeId(self.place, self.name, self.incarnation), ::toGate)
 
     /** Answers a message of another daemon. */
     fun serve(
-        from: HostName,
+        @Suppress("UNUSED_PARAMETER") from: HostName,
         message: Message,
     ): Flow<Message> =
         when (message) {
@@ -45,6 +44,9 @@
             else -> flowOf(Unsupported)
         }
 
+    /** Does the daemon's background work until cancelled. */
+    suspend fun run(): Unit = awaitCancellation()
+
     private fun call(call: Call): Flow<Message> {
         val service = inForce.configuration.value?.service(call.service)
         return if (service == null) notRun(call.id, "no service ${call.service}") else home.run(service, call)
--- /dev/null
+++ b/host/src/main/kotlin/sycamore/host/HostWorld.kt
@@ -0,0 +1,54 @@
+package sycamore.host
+
+import sycamore.daemon.InForce
+import sycamore.daemon.Members
+import sycamore.links.Exchange
+import sycamore.model.Host
+import sycamore.platform.KeyValue
+import kotlin.time.Clock
+
+/** All that a [HostDaemon] meets outside itself. */
+class HostWorld private constructor(
+    val self: Host,
+    val inForce: InForce,
+    val members: Members,
+    val exchange: Exchange,
+    val keys: KeyValue,
+    val engine: CallUpstream,
+    val service: CallUpstream,
+    val clock: Clock,
+) {
+    /** Collects the parts of a [HostWorld]; those without a default have to be set. */
+    class Builder internal constructor(
+        private val self: Host,
+    ) {
+        /** The configuration in force. */
+        var inForce: InForce = InForce()
+
+        /** The hosts that are known. */
+        var members: Members = Members()
+
+        /** Sends messages to other daemons. */
+        lateinit var exchange: Exchange
+
+        /** The platform's key-value service. */
+        lateinit var keys: KeyValue
+
+        /** Calls a model engine. */
+        lateinit var engine: CallUpstream
+
+        /** Calls a plain service. */
+        lateinit var service: CallUpstream
+
+        /** Tells the time of day. */
+        var clock: Clock = Clock.System
+
+        internal fun build() = HostWorld(self, inForce, members, exchange, keys, engine, service, clock)
+    }
+}
+
+/** The daemon of [self] in the world that [build] describes. */
+fun hostDaemon(
+    self: Host,
+    build: HostWorld.Builder.() -> Unit,
+): HostDaemon = HostDaemon(HostWorld.Builder(self).apply(build).build())
--- a/host/src/main/kotlin/sycamore/host/Main.kt
+++ b/host/src/main/kotlin/sycamore/host/Main.kt
@@ -27,9 +27,18 @@
         val members = Members()
         val links = LinkClient(settings.name)
         val self = Host(settings.name, settings.place, settings.listen, Incarnation.random())
-        val gate = Gate(HttpEngine(http, Threads.blocking)::call, HttpService(http, Threads.blocking)::call)
-        val daemon = HostDaemon(self, inForce, members, links::exchange, gate)
-        launch { inForce.follow(HttpKeyValue(settings.keyValue, http, Threads.blocking)) }
+        val keys = HttpKeyValue(settings.keyValue, http, Threads.blocking)
+        val daemon =
+            hostDaemon(self) {
+                this.inForce = inForce
+                this.members = members
+                this.keys = keys
+                exchange = links::exchange
+                engine = HttpEngine(http, Threads.blocking)::call
+                service = HttpService(http, Threads.blocking)::call
+            }
+        launch { inForce.follow(keys) }
+        launch { daemon.run() }
         launch { members.follow(HttpHostList.at(settings.hostList, http, Threads.blocking)) }
         LinkServer.listen(settings.name, settings.listen, daemon::serve)
         Http.serve(settings.http, AdminHttp(inForce).handler)
--- a/host/src/main/kotlin/sycamore/host/UpstreamEvent.kt
+++ b/host/src/main/kotlin/sycamore/host/UpstreamEvent.kt
@@ -6,7 +6,7 @@
 import sycamore.programs.Usage
 
 /** What an upstream answers, in this order: one head, any number of bytes, one end. */
-internal sealed interface UpstreamEvent {
+sealed interface UpstreamEvent {
     /** The answer begins. */
     data class Head(
         val status: Int,
@@ -29,4 +29,4 @@
 }
 
 /** Sends a call to an upstream and yields its answer. Fails with [java.io.IOException] when the upstream breaks off. */
-internal typealias CallUpstream = (upstream: Upstream, forward: Forward) -> Flow<UpstreamEvent>
+typealias CallUpstream = (upstream: Upstream, forward: Forward) -> Flow<UpstreamEvent>
