Check the ten promises on recorded runs under faults

Cause: nothing showed whether the promises hold when processes die, stop, pause or lose their links.

--- a/bench/src/main/kotlin/sycamore/bench/Main.kt
+++ b/bench/src/main/kotlin/sycamore/bench/Main.kt
@@ -1,6 +1,10 @@
+@file:OptIn(ExperimentalCli::class)
+
 package sycamore.bench
 
 import kotlinx.cli.ArgParser
+import kotlinx.cli.ExperimentalCli
+import sycamore.bench.history.HistoryCommand
 import sycamore.daemon.Program
 
 /** Load, policy, history and slope runs. */
@@ -9,5 +13,7 @@
         println("sycamore-bench ${Program.VERSION}")
         return
     }
-    ArgParser("sycamore-bench").parse(args)
+    val parser = ArgParser("sycamore-bench")
+    parser.subcommands(HistoryCommand())
+    parser.parse(args)
 }
--- /dev/null
+++ b/bench/src/main/kotlin/sycamore/bench/history/Fleet.kt
@@ -0,0 +1,273 @@
+package sycamore.bench.history
+
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import sycamore.daemon.InForce
+import sycamore.daemon.Members
+import sycamore.entry.EntryDaemon
+import sycamore.entry.entryDaemon
+import sycamore.host.HostDaemon
+import sycamore.host.hostDaemon
+import sycamore.links.Serve
+import sycamore.model.Address
+import sycamore.model.Budget
+import sycamore.model.Caller
+import sycamore.model.CallerName
+import sycamore.model.Configuration
+import sycamore.model.Contract
+import sycamore.model.Digest
+import sycamore.model.Generation
+import sycamore.model.Host
+import sycamore.model.HostName
+import sycamore.model.Incarnation
+import sycamore.model.ModelName
+import sycamore.model.Place
+import sycamore.model.PlaceName
+import sycamore.model.RegionName
+import sycamore.model.Service
+import sycamore.model.ServiceKind
+import sycamore.model.ServiceName
+import sycamore.model.Upstream
+import sycamore.platform.KeyValue
+import sycamore.platform.ListedHost
+import sycamore.platform.Read
+import sycamore.platform.Revision
+import sycamore.platform.Write
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A daemon that runs in the fleet, and its parts that callers and checks ask. */
+internal class RunningDaemon(
+    val host: Host,
+    val run: Int,
+    val dispatcher: ProcessDispatcher,
+    val scope: CoroutineScope,
+    val inForce: InForce,
+    val entry: EntryDaemon?,
+    val home: HostDaemon?,
+) {
+    fun pause() = dispatcher.pause()
+
+    fun resume() = dispatcher.resume()
+}
+
+/** The daemons of a run: the real code of entries and hosts, on fakes of all that is around them. */
+internal class Fleet(
+    private val outside: CoroutineScope,
+    private val dispatcher: CoroutineDispatcher,
+    private val clock: Clock,
+    private val keys: KeyValue,
+    private val state: FaultState,
+    private val recorder: Recorder,
+    private val upstreams: Upstreams,
+    private val network: Network,
+) {
+    private val places = listOf("svea", "gota", "norr").map { Place(PlaceName("$it-a"), RegionName(it)) }
+    private val models = List(MODEL_HOSTS) { HostName("m$it") }
+    private val orders = List(ORDER_HOSTS) { HostName("o$it") }
+    private val running = HashMap<HostName, RunningDaemon>()
+    private val runs = HashMap<HostName, Int>()
+    private val leaving = HashSet<HostName>()
+
+    /** The hosts that stand beside upstreams. */
+    val hosts: List<HostName> = models + orders
+
+    /** The entry hosts. */
+    val entries: List<HostName> = List(ENTRY_HOSTS) { HostName("e$it") }
+
+    /** All regions. */
+    val regions: List<RegionName> = places.map { it.region }
+
+    /** The service of model engines. */
+    val assistant = ServiceName("assist-llm")
+
+    /** The service whose calls may not be repeated. */
+    val shop = ServiceName("order-app")
+
+    /** Starts all daemons on a first configuration. */
+    suspend fun start() {
+        publish()
+        (hosts + entries).forEach { start(it) }
+    }
+
+    /** Whether a daemon runs on [host] and is not about to stop. */
+    fun isUp(host: HostName): Boolean = host in running && host !in leaving
+
+    /** The daemon that runs on [host]. */
+    fun process(host: HostName): RunningDaemon = running.getValue(host)
+
+    /** All running daemons. */
+    fun all(): List<RunningDaemon> = running.values.toList()
+
+    /** The region of [host]. */
+    fun regionOf(host: HostName): RegionName = placeOf(host).region
+
+    /** One-way latency between two hosts. */
+    fun latency(
+        from: HostName,
+        to: HostName,
+    ): Duration = if (regionOf(from) == regionOf(to)) SAME_REGION else OTHER_REGION
+
+    /** The service called [name], as it is published. */
+    fun service(name: ServiceName): Service = configuration(Generation.NONE).service(name)!!
+
+    /** Starts a new run of the daemon on [name]. */
+    fun start(name: HostName) {
+        val run = (runs[name] ?: 0) + 1
+        runs[name] = run
+        val host = Host(name, placeOf(name).name, addressOf(name), Incarnation("$name-$run"))
+        val process = ProcessDispatcher(outside, dispatcher)
+        val scope = CoroutineScope(process + SupervisorJob())
+        val daemon = build(host, run, process, scope)
+        running[name] = daemon
+        leaving -= name
+        network.attach(Endpoint(host, scope, serveOf(daemon)) { process.isAlive })
+    }
+
+    private fun build(
+        host: Host,
+        run: Int,
+        process: ProcessDispatcher,
+        scope: CoroutineScope,
+    ): RunningDaemon {
+        val inForce = InForce()
+        val members = Members()
+        val ownKeys = FaultyKeys(keys, state)
+        val exchange = network.exchangeOf(host.name)
+        scope.launch { inForce.follow(ownKeys) }
+        scope.launch { members.follow { listed() } }
+        if (host.name in entries) {
+            val entry =
+                entryDaemon(host) {
+                    this.inForce = inForce
+                    this.members = members
+                    this.keys = ownKeys
+                    this.exchange = exchange
+                    this.clock = this@Fleet.clock
+                }
+            scope.launch { entry.run() }
+            return RunningDaemon(host, run, process, scope, inForce, entry, home = null)
+        }
+        val home =
+            hostDaemon(host) {
+                this.inForce = inForce
+                this.members = members
+                this.keys = ownKeys
+                this.exchange = exchange
+                this.clock = this@Fleet.clock
+                engine = upstreams::engine
+                service = upstreams::order
+            }
+        scope.launch { home.run() }
+        return RunningDaemon(host, run, process, scope, inForce, entry = null, home = home)
+    }
+
+    private fun serveOf(daemon: RunningDaemon): Serve =
+        { from, message -> daemon.entry?.serve(from, message) ?: daemon.home!!.serve(from, message) }
+
+    /** Ends the daemon on [name] at once. */
+    fun kill(name: HostName) {
+        val daemon = running.remove(name) ?: return
+        daemon.dispatcher.kill()
+        network.detach(daemon.host.address)
+    }
+
+    /** Stops the daemon on [name] in the planned way and waits until it has ended. */
+    suspend fun stop(name: HostName) {
+        val daemon = running.getValue(name)
+        leaving += name
+        recorder.record { StopBegan(it, name) }
+        val stopping = daemon.scope.launch { stopDaemon(daemon) }
+        stopping.join()
+        if (running[name] !== daemon) return
+        kill(name)
+        leaving -= name
+        recorder.record { StopEnded(it, name) }
+    }
+
+    private suspend fun stopDaemon(daemon: RunningDaemon) {
+        delay(STOP_GRACE)
+    }
+
+    /** Publishes the configuration under the next generation. */
+    suspend fun publish() {
+        val read = keys.get(InForce.KEY) as Read.Found
+        val last = read.value?.value?.let { InForce.decode(it).generation } ?: Generation.NONE
+        val next = configuration(last.next())
+        val expected = read.value?.version ?: Revision.ABSENT
+        val write = keys.put(InForce.KEY, InForce.encode(next), expected)
+        if (write is Write.Taken) recorder.record { Published(it, next.generation) }
+    }
+
+    private fun listed(): List<ListedHost> =
+        running.values.filter { it.home != null || it.entry != null }.map {
+            ListedHost(it.host.name, it.host.place, it.host.address, it.host.name in leaving)
+        }
+
+    private fun placeOf(host: HostName): Place = places[host.value.drop(1).toInt() % places.size]
+
+    private fun addressOf(host: HostName): Address = Address("10.0.0.${(hosts + entries).indexOf(host) + 1}", LINK_PORT)
+
+    private fun configuration(generation: Generation): Configuration =
+        Configuration(
+            generation = generation,
+            publishId = "publish-$generation",
+            places = places,
+            links = emptyList(),
+            callers = listOf(Caller(caller, salt = "", Digest.of(ByteArray(0)))),
+            services =
+                listOf(
+                    Service(
+                        assistant,
+                        ServiceKind.MODEL,
+                        models.map { upstream(it) },
+                        budget = BUDGET,
+                        idleLimit = 1.hours,
+                    ),
+                    Service(shop, ServiceKind.SERVICE, orders.map { upstream(it) }, CONTRACTS, BUDGET),
+                ),
+        )
+
+    private fun upstream(host: HostName): Upstream =
+        Upstream(
+            host = host,
+            place = placeOf(host).name,
+            address = addressOf(host).copy(port = UPSTREAM_PORT),
+            capacity = CAPACITY,
+            models = if (host in models) listOf(model) else emptyList(),
+            memory = MEMORY,
+        )
+
+    companion object {
+        private const val MODEL_HOSTS = 3
+        private const val ORDER_HOSTS = 2
+        private const val ENTRY_HOSTS = 2
+        private const val LINK_PORT = 7400
+        private const val UPSTREAM_PORT = 7700
+        private const val CAPACITY = 8
+        private const val MEMORY = 64L shl 20
+        private val SAME_REGION = 1.milliseconds
+        private val OTHER_REGION = 12.milliseconds
+        private val STOP_GRACE = 3.seconds
+        private val CONTRACTS =
+            listOf(
+                Contract("GET", "/*", idempotent = true, deadline = 5.seconds),
+                Contract("POST", "/deposits", idempotent = false, deadline = 20.seconds),
+            )
+
+        /** The tokens that a program of this run may spend, sub-agents included. */
+        val BUDGET = Budget(tokens = 4_000, calls = 60)
+
+        /** The account of all callers. */
+        val caller = CallerName("workshop")
+
+        /** The model of all engines. */
+        val model = ModelName("wheel-7b")
+    }
+}
--- /dev/null
+++ b/bench/src/main/kotlin/sycamore/bench/history/HistoryCommand.kt
@@ -0,0 +1,84 @@
+package sycamore.bench.history
+
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import sycamore.daemon.Program
+import sycamore.programs.Outcome
+import kotlin.time.Duration.Companion.seconds
+
+/** Runs callers against a fleet under faults and checks the recorded history against the ten promises. */
+@OptIn(ExperimentalCli::class)
+internal class HistoryCommand : Subcommand("history", "Check the promises on a recorded run under faults") {
+    private val seed by option(ArgType.Int, "seed", description = "Seed of the run").default(1)
+    private val length by option(
+        ArgType.Int,
+        "seconds",
+        description = "Virtual seconds under faults",
+    ).default(DEFAULT_SECONDS)
+    private val faults by option(ArgType.String, "faults", description = "all, none, or names: $names").default("all")
+    private val broken by option(ArgType.String, "break", description = "all: break each promise on purpose")
+
+    override fun execute() {
+        val result =
+            HistoryRun(
+                seed.toLong(),
+                length.seconds,
+                kinds(),
+            ).run { System.err.println("history: $it passed") }
+        if (broken == null) report(result) else reportBroken(result.history)
+    }
+
+    private fun kinds(): List<FaultKind> =
+        when (faults) {
+            "all" -> FaultKind.entries
+            "none" -> emptyList()
+            else -> faults.split(',').map { FaultKind.of(it) ?: misuse(it) }
+        }
+
+    private fun misuse(found: String): Nothing =
+        Program.fail(Program.EXIT_MISUSE, "expected --faults all, none or names out of $names, found '$found'")
+
+    private fun report(result: HistoryRun.Result) {
+        val history = result.history
+        val violations = check(history)
+        violations.take(SHOWN).forEach(::println)
+        result.failures.take(SHOWN).forEach { println("uncaught: ${it.stackTraceToString()}") }
+        println(Promise.entries.joinToString(" ") { "$it=${violations.count { v -> v.promise == it }}" })
+        println(
+            "history: calls=${history.calls.size} answered=${history.answered.size} faults=${result.faults} " +
+                "unknown=${history.refused.count { it.outcome == Outcome.UNKNOWN }} " +
+                "not_run=${history.refused.count { it.outcome == Outcome.NOT_RUN }} " +
+                "violations=${violations.size + result.failures.size}",
+        )
+        if (violations.isNotEmpty() ||
+            result.failures.isNotEmpty()
+        ) {
+            Program.fail(Program.EXIT_FAILED, "promises were broken")
+        }
+    }
+
+    private fun reportBroken(history: History) {
+        val caught = Promise.entries.count { isCaught(it, history) }
+        println("history: caught=$caught/${Promise.entries.size}")
+        if (caught < Promise.entries.size) Program.fail(Program.EXIT_FAILED, "a check missed a broken promise")
+    }
+
+    private fun isCaught(
+        promise: Promise,
+        history: History,
+    ): Boolean {
+        val changed = breaks.getValue(promise)(history.events)
+        val before = promise.check(history).size
+        val after = if (changed == null) before else promise.check(History(changed)).size
+        println("$promise: ${if (changed == null) "nothing to break" else "$before before, $after after"}")
+        return after > before
+    }
+
+    private companion object {
+        const val DEFAULT_SECONDS = 120
+        const val SHOWN = 5
+        val names = FaultKind.entries.joinToString(",") { it.text }
+    }
+}
--- /dev/null
+++ b/bench/src/main/kotlin/sycamore/bench/history/HistoryRun.kt
@@ -0,0 +1,117 @@
+package sycamore.bench.history
+
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.StandardTestDispatcher
+import kotlinx.coroutines.test.TestCoroutineScheduler
+import sycamore.model.HostName
+import sycamore.standins.KeyValueStore
+import kotlin.random.Random
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/**
+ * One run of callers against a fleet under faults, in virtual time: the same seed gives the same history.
+ *
+ * @property length how long faults and new programs go on; a quiet time without faults follows.
+ */
+internal class HistoryRun(
+    private val seed: Long,
+    private val length: Duration,
+    private val kinds: List<FaultKind>,
+) {
+    private val scheduler = TestCoroutineScheduler()
+    private val dispatcher = StandardTestDispatcher(scheduler)
+    private val failures = ArrayList<Throwable>()
+    private val onFailure = CoroutineExceptionHandler { _, e -> failures += e }
+    private val scope = CoroutineScope(dispatcher + SupervisorJob() + onFailure)
+    private val recorder = Recorder { scheduler.currentTime.milliseconds }
+    private val state = FaultState { fleet.regionOf(it) }
+    private val upstreams = Upstreams(scope, recorder, Random(seed + 1)) { it in state.hung }
+    private val network = Network(Random(seed + 2), { a, b -> fleet.latency(a, b) }, state::link)
+    private val keys = KeyValueStore(scheduler.timeSource)
+    private val clock = clockOf(scheduler)
+    private val fleet: Fleet = Fleet(scope, dispatcher, clock, keys, state, recorder, upstreams, network)
+    private val faults = Faults(kinds, Random(seed + 3), state, fleet, recorder)
+
+    /** What a run came to. [failures] are exceptions that nothing caught. */
+    class Result(
+        val history: History,
+        val faults: Int,
+        val failures: List<Throwable>,
+    )
+
+    /** Carries the run out; [progress] is told the virtual time that has passed, every ten seconds. */
+    fun run(progress: (Duration) -> Unit = {}): Result {
+        scope.launch { main() }
+        var passed = Duration.ZERO
+        while (passed < length + QUIET) {
+            scheduler.advanceTimeBy(STEP)
+            passed += STEP
+            progress(passed)
+        }
+        recordCaches()
+        scope.cancel()
+        return Result(recorder.history(), faults.count, failures)
+    }
+
+    private suspend fun main() {
+        fleet.start()
+        scope.launch { watchConfiguration() }
+        delay(START_UP)
+        val faulting = scope.launch { faults.run(scope) }
+        val agents = List(AGENTS) { number -> scope.launch { runAgents(number) } }
+        delay(length)
+        faulting.cancel()
+        agents.forEach { it.join() }
+    }
+
+    private suspend fun runAgents(number: Int) {
+        val random = Random(seed * AGENTS + number)
+        var program = 0
+        while (scope.isActive && scheduler.currentTime.milliseconds < length) {
+            program++
+            Agent(fleet, recorder, random, Tag("p$number-$program")).run(scope)
+        }
+    }
+
+    private suspend fun watchConfiguration() {
+        while (true) {
+            delay(WATCH)
+            fleet.all().forEach { daemon ->
+                recorder.record { InForceSeen(it, daemon.host.name, daemon.run, daemon.inForce.generation) }
+            }
+        }
+    }
+
+    private fun recordCaches() {
+        fleet.hosts.forEach { host: HostName ->
+            upstreams.cached(host).forEach { tag -> recorder.record { CacheLeft(it, host, tag) } }
+        }
+    }
+
+    private companion object {
+        const val AGENTS = 6
+        val START_UP = 3.seconds
+        val STEP = 10.seconds
+        val WATCH = 1.seconds
+
+        /** Long enough for every retry and every idle limit of the run. */
+        val QUIET = 180.seconds
+
+        fun clockOf(scheduler: TestCoroutineScheduler): Clock =
+            object : Clock {
+                private val epoch = Instant.parse("2026-01-01T00:00:00Z")
+
+                override fun now(): Instant = epoch + scheduler.currentTime.milliseconds
+            }
+    }
+}
