Add the messages that start, show and end programs

Callers need a program before their first call that may not be repeated. StartProgram, ShowProgram and ProgramView (links/CallerMessage.kt) carry that; the home answers them from what it keeps today. A contract's path now disregards the query part of a call's path.

--- a/entry/src/main/kotlin/sycamore/entry/EntryDaemon.kt
+++ b/entry/src/main/kotlin/sycamore/entry/EntryDaemon.kt
@@ -5,8 +5,10 @@
 import kotlinx.coroutines.flow.flowOf
 import sycamore.links.Call
 import sycamore.links.Message
+import sycamore.links.StartProgram
 import sycamore.links.Unsupported
 import sycamore.model.HostName
+import sycamore.model.ProgramId
 import sycamore.model.Service
 
 /** Carries callers' calls to the homes of their programs. HTTP is on top of it, in [EntryHttp]. */
@@ -21,6 +23,18 @@
         call: Call,
     ): Flow<Message> = router.send(service, call)
 
+    /** Starts a program of [service] and yields its view. */
+    fun start(
+        service: Service,
+        start: StartProgram,
+    ): Flow<Message> = router.start(service, start)
+
+    /** Sends [message] about [program] to its home and yields the answer. */
+    fun ask(
+        program: ProgramId,
+        message: Message,
+    ): Flow<Message> = router.ask(program, message)
+
     /** Answers a message of another daemon. */
     @Suppress("UNUSED_PARAMETER")
     fun serve(
--- a/host/src/main/kotlin/sycamore/host/Home.kt
+++ b/host/src/main/kotlin/sycamore/host/Home.kt
@@ -6,17 +6,26 @@
 import kotlinx.coroutines.sync.withLock
 import sycamore.links.Begun
 import sycamore.links.Call
+import sycamore.links.Done
+import sycamore.links.EndProgram
 import sycamore.links.Fence
 import sycamore.links.Forward
 import sycamore.links.Message
 import sycamore.links.Part
+import sycamore.links.ProgramView
 import sycamore.links.Refused
+import sycamore.links.ShowProgram
+import sycamore.links.StartProgram
 import sycamore.links.Whole
+import sycamore.model.Budget
+import sycamore.model.CallId
+import sycamore.model.CallerName
 import sycamore.model.Epoch
 import sycamore.model.HomeId
 import sycamore.model.ProgramId
 import sycamore.model.Service
 import sycamore.model.ServiceKind
+import sycamore.model.ServiceName
 import sycamore.programs.ChatBody
 import sycamore.programs.ChatMessage
 import sycamore.programs.Outcome
@@ -37,12 +46,61 @@
     private val programs = ConcurrentHashMap<ProgramId, Conversation>()
     private val nextNumber = AtomicLong()
 
-    private class Conversation {
+    private class Conversation(
+        val caller: CallerName,
+        val service: ServiceName,
+        val parent: ProgramId?,
+    ) {
         val turns = Mutex()
         var turn = 0
         var history: List<ChatMessage> = emptyList()
     }
 
+    /** Starts the program that [start] asks for. */
+    fun start(
+        start: StartProgram,
+        budget: Budget,
+    ): Message {
+        val id = ProgramId(self, nextNumber.incrementAndGet())
+        val program = Conversation(start.caller, start.service, start.parent)
+        programs[id] = program
+        return view(id, program, budget)
+    }
+
+    /** Shows the program that [show] asks for to its own account. */
+    fun show(
+        show: ShowProgram,
+        budgetOf: (ServiceName) -> Budget,
+    ): Message {
+        val program = programs[show.program]?.takeIf { it.caller == show.caller }
+        if (program == null) return Refused(CallId.random(), noProgram(show.program))
+        return view(show.program, program, budgetOf(program.service))
+    }
+
+    /** Ends the program that [end] asks for. */
+    fun end(end: EndProgram): Message {
+        val program = programs[end.program]?.takeIf { it.caller == end.caller }
+        if (program == null) return Refused(CallId.random(), noProgram(end.program))
+        programs.remove(end.program)
+        return Done
+    }
+
+    private fun view(
+        id: ProgramId,
+        program: Conversation,
+        budget: Budget,
+    ) = ProgramView(
+        program = id,
+        service = program.service,
+        root = program.parent ?: id,
+        parent = program.parent,
+        turns = program.turn,
+        budget = budget,
+        spentCalls = program.turn.toLong(),
+    )
+
+    private fun noProgram(id: ProgramId) = Refusal(Outcome.NOT_RUN, NOT_FOUND, "no program $id lives here")
+
     /** Runs [call] of [service] in its program's order. */
     fun run(
         service: Service,
@@ -50,9 +108,14 @@
     ): Flow<Message> =
         flow {
             val id = call.program ?: ProgramId(self, nextNumber.incrementAndGet())
-            val program = if (call.program == null) Conversation().also { programs[id] = it } else programs[id]
+            val program =
+                if (call.program == null) {
+                    Conversation(call.caller, call.service, call.parent).also { programs[id] = it }
+                } else {
+                    programs[id]?.takeIf { it.caller == call.caller }
+                }
             if (program == null) {
-                emit(Refused(call.id, Refusal(Outcome.NOT_RUN, NOT_FOUND, "no program $id lives here")))
+                emit(Refused(call.id, noProgram(id)))
                 return@flow
             }
             program.turns.withLock { runTurn(service, call, id, program).collect { emit(it) } }
--- a/host/src/main/kotlin/sycamore/host/HostDaemon.kt
+++ b/host/src/main/kotlin/sycamore/host/HostDaemon.kt
@@ -8,15 +8,20 @@
 import sycamore.links.AskStatus
 import sycamore.links.Call
 import sycamore.links.ConfigurationText
+import sycamore.links.EndProgram
 import sycamore.links.Forward
 import sycamore.links.HostStatus
 import sycamore.links.Message
 import sycamore.links.Refused
+import sycamore.links.ShowProgram
+import sycamore.links.StartProgram
 import sycamore.links.Unsupported
+import sycamore.model.Budget
 import sycamore.model.CallId
 import sycamore.model.HomeId
 import sycamore.model.HostName
 import sycamore.model.Service
+import sycamore.model.ServiceName
 import sycamore.programs.Outcome
 import sycamore.programs.Refusal
 
@@ -39,6 +44,9 @@
         when (message) {
             is Call -> call(message)
             is Forward -> forward(message)
+            is StartProgram -> start(message)
+            is ShowProgram -> flowOf(home.show(message, ::budgetOf))
+            is EndProgram -> flowOf(home.end(message))
             is AskConfiguration -> configuration(message)
             is AskStatus -> flowOf(HostStatus(self, leaving = false, queued = 0, running = 0, inForce.generation))
             else -> flowOf(Unsupported)
@@ -52,6 +60,20 @@
         return if (service == null) notRun(call.id, "no service ${call.service}") else home.run(service, call)
     }
 
+    private fun start(start: StartProgram): Flow<Message> {
+        val service = inForce.configuration.value?.service(start.service)
+        return if (service == null) {
+            notRun(start.id, "no service ${start.service}")
+        } else {
+            flowOf(home.start(start, service.budget))
+        }
+    }
+
+    private fun budgetOf(service: ServiceName): Budget =
+        inForce.configuration.value
+            ?.service(service)
+            ?.budget ?: Budget()
+
     private fun toGate(forward: Forward): Flow<Message> {
         val service = inForce.configuration.value?.service(forward.service)
         val target = service?.let(::chooseUpstream) ?: return notRun(forward.id, "no upstream of ${forward.service}")
--- a/model/src/main/kotlin/sycamore/model/Service.kt
+++ b/model/src/main/kotlin/sycamore/model/Service.kt
@@ -24,14 +24,19 @@
     val idempotent: Boolean,
     val deadline: Duration = DEFAULT_DEADLINE,
 ) {
-    /** Whether this contract is about [method] on [path]. A path that ends in `*` covers all that begin with it. */
+    /**
+     * Whether this contract is about [method] on [path], whose query part does not matter.
+     *
+     * A contract's path that ends in `*` covers all that begin with it.
+     */
     fun covers(
         method: String,
         path: String,
     ): Boolean {
         if (this.method != "*" && !this.method.equals(method, ignoreCase = true)) return false
-        if (this.path.endsWith("*")) return path.startsWith(this.path.dropLast(1))
-        return this.path == path
+        val asked = path.substringBefore('?')
+        if (this.path.endsWith("*")) return asked.startsWith(this.path.dropLast(1))
+        return this.path == asked
     }
 
     companion object {
