Bound, count and resolve the calls to the key-value service

Cause: a call could hang while its body was read, an answer that could not be decoded ended the loop that asked, a lost answer was left to each caller, and a watch resumed on a restored service missed changes.

Change: KeyValueClient (timeout, own limit of calls a second, counters by kind), resolve() (reads back and repeats under the same version), watch() (lists again after failures and when revisions went back), Lease (judged by the holder's own clock, with a fence). FaultyKeyValue switches down, slow, lost answers, rate limit and stale reads, in virtual time and over HTTP at /faults.

--- a/standins/src/main/kotlin/sycamore/standins/KeyValueServer.kt
+++ b/standins/src/main/kotlin/sycamore/standins/KeyValueServer.kt
@@ -1,6 +1,7 @@
 package sycamore.standins
 
 import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.json.Json
 import org.http4k.core.HttpHandler
 import org.http4k.core.Method
 import org.http4k.core.Request
@@ -18,10 +19,12 @@
 import sycamore.platform.Write
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Serves [keys] over HTTP; see [KeyValueWire] for the interface. */
+/** Serves [keys] over HTTP; see [KeyValueWire] for the interface. Its faults are read and replaced at [FAULTS]. */
 class KeyValueServer(
-    private val keys: KeyValue,
+    store: KeyValue,
 ) {
+    private val keys = FaultyKeyValue(store)
+
     /** The HTTP interface. */
     val handler: HttpHandler =
         routes(
@@ -29,8 +32,19 @@
             KeyValueWire.KEYS bind Method.PUT to ::put,
             KeyValueWire.KEYS bind Method.DELETE to ::delete,
             KeyValueWire.CHANGES bind Method.GET to ::changes,
+            FAULTS bind Method.GET to { _: Request -> Response(Status.OK).body(Json.encodeToString(keys.faults)) },
+            FAULTS bind Method.PUT to ::switchFaults,
         )
 
+    private fun switchFaults(request: Request): Response =
+        try {
+            val faults = Json.decodeFromString<KeyValueFaults>(request.bodyString())
+            runBlocking { keys.switch(faults) }
+            Response(Status.OK)
+        } catch (e: IllegalArgumentException) {
+            Response(Status.BAD_REQUEST).body("expected faults as JSON: ${e.message}")
+        }
+
     private fun read(request: Request): Response =
         runBlocking {
             val prefix = request.query("prefix")
@@ -91,4 +105,9 @@
 
     private fun missing(name: String): Response =
         Response(Status.BAD_REQUEST).body("expected the query parameter '$name', found none")
+
+    companion object {
+        /** Path of [KeyValueFaults] as JSON: GET and PUT. */
+        const val FAULTS = "/faults"
+    }
 }
--- a/standins/src/main/kotlin/sycamore/standins/KeyValueStore.kt
+++ b/standins/src/main/kotlin/sycamore/standins/KeyValueStore.kt
@@ -44,58 +44,74 @@
         after: Revision,
         wait: Duration,
     ): Read<List<Item>> {
-        withTimeoutOrNull(wait) { revision.first { changed(prefix, after).isNotEmpty() } }
+        withTimeoutOrNull(wait) { awaitChange(prefix, after) }
         return lock.withLock { Read.Found(changed(prefix, after), now()) }
     }
 
+    /** Waits for a change under [prefix]; a lease that lapses is one. */
+    private suspend fun awaitChange(
+        prefix: String,
+        after: Revision,
+    ) {
+        while (changed(prefix, after).isEmpty()) {
+            val seen = revision.value
+            val lapse = nextLapse() ?: Duration.INFINITE
+            withTimeoutOrNull(lapse) { revision.first { it != seen } }
+        }
+    }
+
     override suspend fun put(
         key: String,
         value: ByteArray,
         expected: Revision,
         lease: Duration?,
-    ): Write =
-        change(key, value, expected).also {
-            if (it is Write.Taken) lock.withLock { setLease(key, lease) }
-        }
+    ): Write = change(key, value, expected, lease)
 
     override suspend fun delete(
         key: String,
         expected: Revision,
-    ): Write = change(key, null, expected)
+    ): Write = change(key, null, expected, null)
+
+    /** Comes back as if restored from a backup: the same keys, with revisions counted anew. */
+    fun restore() {
+        lock.withLock {
+            val kept = items.values.filter { it.value != null }
+            items.clear()
+            revision.value = 0
+            kept.forEach { store(it.key, it.value, lease = null) }
+        }
+    }
 
     private fun change(
         key: String,
         value: ByteArray?,
         expected: Revision,
+        lease: Duration?,
     ): Write =
         lock.withLock {
             dropLapsed()
             val current = items[key]?.takeIf { it.value != null }
             if ((current?.version ?: Revision.ABSENT) != expected) return Write.Conflict(current)
-            Write.Taken(store(key, value))
+            Write.Taken(store(key, value, lease))
         }
 
     private fun store(
         key: String,
         value: ByteArray?,
+        lease: Duration?,
     ): Revision {
         val version = Revision(revision.value + 1)
         items[key] = Item(key, value, version)
-        leases.remove(key)
+        if (lease == null) leases.remove(key) else leases[key] = clock.markNow() + lease
         revision.value = version.value
         return version
     }
 
-    private fun setLease(
-        key: String,
-        lease: Duration?,
-    ) {
-        if (lease != null) leases[key] = clock.markNow() + lease
-    }
+    private fun nextLapse(): Duration? = lock.withLock { leases.values.minOrNull()?.let { -it.elapsedNow() } }
 
     private fun dropLapsed() {
-        val lapsed = leases.filterValues { it.hasPassedNow() }.keys
-        lapsed.forEach { store(it, null) }
+        val lapsed = leases.filterValues { it.elapsedNow() >= Duration.ZERO }.keys
+        lapsed.forEach { store(it, null, lease = null) }
     }
 
     private fun changed(
--- /dev/null
+++ b/standins/src/test/kotlin/sycamore/standins/HttpKeyValueTest.kt
@@ -0,0 +1,77 @@
+package sycamore.standins
+
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.runBlocking
+import org.http4k.core.HttpHandler
+import org.http4k.core.Method
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
+import sycamore.model.Address
+import sycamore.platform.HttpKeyValue
+import sycamore.platform.Item
+import sycamore.platform.Read
+import sycamore.platform.Revision
+import sycamore.platform.Write
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.time.Duration
+
+class HttpKeyValueTest {
+    private val address = Address("127.0.0.1", 1)
+    private val value = byteArrayOf(1, 2)
+
+    private fun client(http: HttpHandler) = HttpKeyValue(address, http, Dispatchers.IO)
+
+    private fun switch(
+        server: KeyValueServer,
+        faults: String,
+    ) = assertEquals(Status.OK, server.handler(Request(Method.PUT, KeyValueServer.FAULTS).body(faults)).status)
+
+    @Test
+    fun `items pass both ways`(): Unit =
+        runBlocking {
+            val keys = client(KeyValueServer(KeyValueStore()).handler)
+            assertEquals(Write.Taken(Revision(1)), keys.put("a/b c", value, Revision.ABSENT))
+            val item = Item("a/b c", value, Revision(1))
+            assertEquals(Read.Found(item, Revision(1)), keys.get("a/b c"))
+            assertEquals(Write.Conflict(item), keys.put("a/b c", value, Revision.ABSENT))
+            assertEquals(Write.Taken(Revision(2)), keys.delete("a/b c", Revision(1)))
+            val deleted = Item("a/b c", null, Revision(2))
+            assertEquals(Read.Found(listOf(deleted), Revision(2)), keys.changes("a/", Revision(1), Duration.ZERO))
+        }
+
+    @Test
+    fun `faults that were switched over HTTP reach the client`(): Unit =
+        runBlocking {
+            val server = KeyValueServer(KeyValueStore())
+            val keys = client(server.handler)
+            switch(server, """{"lostAnswers":1}""")
+            assertIs<Write.NotKnown>(keys.put("k", value, Revision.ABSENT))
+            assertIs<Write.Conflict>(keys.put("k", value, Revision.ABSENT))
+            switch(server, """{"down":true}""")
+            assertIs<Read.Unreachable>(keys.get("k"))
+            switch(server, """{"callsPerSecond":0.001}""")
+            assertIs<Read.Found<Item?>>(keys.get("k"))
+            assertIs<Write.NotSent>(keys.put("k", value, Revision(1)))
+        }
+
+    @Test
+    fun `answers that cannot be decoded are no answers`(): Unit =
+        runBlocking {
+            val bodies = listOf("", "{", "[]", """{"revision":1,"items":[{"key":"k","value":"%","version":1}]}""")
+            for (body in bodies) {
+                val keys = client { Response(Status.OK).body(body) }
+                assertEquals(Read.Unreachable("the answer could not be decoded"), keys.get("k"))
+                assertEquals(Write.NotKnown("the answer could not be decoded"), keys.delete("k", Revision(1)))
+            }
+        }
+
+    @Test
+    fun `a refused connection tells that nothing was sent`(): Unit =
+        runBlocking {
+            val keys = client { Response(Status.CONNECTION_REFUSED) }
+            assertEquals(Write.NotSent("no connection to $address"), keys.put("k", value, Revision.ABSENT))
+        }
+}
--- /dev/null
+++ b/standins/src/test/kotlin/sycamore/standins/KeyValueClientTest.kt
@@ -0,0 +1,71 @@
+package sycamore.standins
+
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.test.testTimeSource
+import sycamore.platform.CallKind
+import sycamore.platform.CallOutcome
+import sycamore.platform.Read
+import sycamore.platform.Revision
+import sycamore.platform.Write
+import sycamore.platform.keyValueClient
+import sycamore.platform.retryRead
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class KeyValueClientTest {
+    @Test
+    fun `a service that hangs is given up after the timeout, and a write is not known`() =
+        runTest {
+            val keys = FaultyKeyValue(KeyValueStore(testTimeSource), testTimeSource)
+            val client = keyValueClient(keys) { time = testTimeSource }
+            keys.switch { it.copy(delay = 1.hours) }
+            assertEquals(Read.Unreachable("no answer within 2s"), client.get("k"))
+            assertEquals(Write.NotKnown("no answer within 2s"), client.put("k", byteArrayOf(1), Revision.ABSENT))
+            assertEquals(4_000, currentTime)
+            assertEquals(1, client.counts.of(CallKind.PUT, CallOutcome.NO_ANSWER))
+        }
+
+    @Test
+    fun `calls above the own limit wait and then are not sent`() =
+        runTest {
+            val client =
+                keyValueClient(KeyValueStore(testTimeSource)) {
+                    callsPerSecond = 2.0
+                    burst = 1
+                    patience = 1.seconds
+                    time = testTimeSource
+                }
+            assertIs<Read.Found<*>>(client.get("k"))
+            assertIs<Read.Found<*>>(client.get("k"))
+            assertEquals(500, currentTime)
+            val writes = (1..2).map { client.put("k$it", byteArrayOf(1), Revision.ABSENT) }
+            assertEquals(2, writes.filterIsInstance<Write.Taken>().size)
+            assertEquals(2, client.counts.of(CallKind.PUT))
+        }
+
+    @Test
+    fun `a rate-limited service takes no write and says so`() =
+        runTest {
+            val keys = FaultyKeyValue(KeyValueStore(testTimeSource), testTimeSource)
+            keys.switch { it.copy(callsPerSecond = 1.0) }
+            assertIs<Write.Taken>(keys.put("k", byteArrayOf(1), Revision.ABSENT))
+            assertIs<Write.NotSent>(keys.put("k", byteArrayOf(2), Revision(1)))
+        }
+
+    @Test
+    fun `a read is repeated until it is answered or its time is up`() =
+        runTest {
+            val keys = FaultyKeyValue(KeyValueStore(testTimeSource), testTimeSource)
+            keys.switch { it.copy(down = true) }
+            assertIs<Read.Unreachable>(retryRead(5.seconds) { keys.get("k") })
+            assertEquals(5_000, currentTime)
+            keys.switch { it.copy(down = false, delay = 10.milliseconds) }
+            assertIs<Read.Found<*>>(retryRead(Duration.INFINITE) { keys.get("k") })
+        }
+}
--- /dev/null
+++ b/standins/src/test/kotlin/sycamore/standins/LeaseTest.kt
@@ -0,0 +1,50 @@
+package sycamore.standins
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.test.testTimeSource
+import sycamore.platform.Holding
+import sycamore.platform.Lease
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+
+class LeaseTest {
+    @Test
+    fun `a holder that was paused knows that its lease may have lapsed`() =
+        runTest {
+            val store = KeyValueStore(testTimeSource)
+            val first = Lease(store, "l", byteArrayOf(1), 10.seconds, testTimeSource)
+            val second = Lease(store, "l", byteArrayOf(2), 10.seconds, testTimeSource)
+            assertTrue(first.attempt())
+            assertFalse(second.attempt())
+            delay(9.seconds)
+            assertFalse(first.isHeld)
+            assertFalse(second.attempt())
+            delay(1.seconds)
+            assertTrue(second.attempt())
+            assertFalse(first.attempt())
+            val fence = assertIs<Holding.Held>(second.holding.value).fence
+            second.release()
+            assertTrue(first.attempt())
+            assertTrue(assertIs<Holding.Held>(first.holding.value).fence > fence)
+        }
+
+    @Test
+    fun `a renewal whose answer was lost does not extend the belief in the lease`() =
+        runTest {
+            val keys = FaultyKeyValue(KeyValueStore(testTimeSource), testTimeSource)
+            val lease = Lease(keys, "l", byteArrayOf(1), 10.seconds, testTimeSource)
+            keys.switch { it.copy(lostAnswers = 1) }
+            assertFalse(lease.attempt())
+            assertFalse(lease.attempt())
+            assertTrue(lease.attempt())
+            val fence = assertIs<Holding.Held>(lease.holding.value).fence
+            delay(5.seconds)
+            assertTrue(lease.attempt())
+            assertEquals(fence, assertIs<Holding.Held>(lease.holding.value).fence)
+        }
+}
--- /dev/null
+++ b/standins/src/test/kotlin/sycamore/standins/ResolveTest.kt
@@ -0,0 +1,69 @@
+package sycamore.standins
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.test.testTimeSource
+import sycamore.platform.Authorship
+import sycamore.platform.FindAuthor
+import sycamore.platform.KeyValue
+import sycamore.platform.Read
+import sycamore.platform.Revision
+import sycamore.platform.Write
+import sycamore.platform.resolve
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.time.Duration.Companion.seconds
+
+class ResolveTest {
+    private val ours = "w1".encodeToByteArray()
+    private val author: FindAuthor = { if (it.contentEquals(ours)) Authorship.OURS else Authorship.UNCERTAIN }
+
+    private suspend fun KeyValue.text(): String? = (get("k") as Read.Found).value?.value?.decodeToString()
+
+    @Test
+    fun `a write whose answer was lost is found to have taken effect, once`() =
+        runTest {
+            val store = KeyValueStore(testTimeSource)
+            val keys = FaultyKeyValue(store, testTimeSource)
+            keys.switch { it.copy(lostAnswers = 1) }
+            assertEquals(Write.Taken(Revision(1)), keys.resolve("k", ours, Revision.ABSENT, author))
+        }
+
+    @Test
+    fun `a write that never arrived is sent again once the service is back`() =
+        runTest {
+            val store = KeyValueStore(testTimeSource)
+            val keys = FaultyKeyValue(store, testTimeSource)
+            keys.switch { it.copy(down = true) }
+            launch {
+                delay(5.seconds)
+                keys.switch { it.copy(down = false) }
+            }
+            assertEquals(Write.Taken(Revision(1)), keys.resolve("k", ours, Revision.ABSENT, author))
+            assertEquals("w1", store.text())
+        }
+
+    @Test
+    fun `a write that another one covered stays unknown unless the value tells`() =
+        runTest {
+            val store = KeyValueStore(testTimeSource)
+            val keys = FaultyKeyValue(store, testTimeSource)
+            keys.switch { it.copy(lostAnswers = 1) }
+            launch { store.put("k", "w2".encodeToByteArray(), Revision(1)) }
+            assertIs<Write.NotKnown>(keys.resolve("k", ours, Revision.ABSENT, author))
+            keys.switch { it.copy(lostAnswers = 1) }
+            val foreign = keys.resolve("k", ours, Revision(1), { Authorship.FOREIGN })
+            assertIs<Write.Conflict>(foreign)
+            assertEquals("w2", store.text())
+        }
+
+    @Test
+    fun `an outage longer than the limit leaves the write unknown`() =
+        runTest {
+            val keys = FaultyKeyValue(KeyValueStore(testTimeSource), testTimeSource)
+            keys.switch { it.copy(down = true) }
+            assertIs<Write.NotKnown>(keys.resolve("k", ours, Revision.ABSENT, author))
+        }
+}
--- /dev/null
+++ b/standins/src/test/kotlin/sycamore/standins/WatchTest.kt
@@ -0,0 +1,131 @@
+package sycamore.standins
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.test.testTimeSource
+import sycamore.platform.Backoff
+import sycamore.platform.Item
+import sycamore.platform.KeyValue
+import sycamore.platform.Revision
+import sycamore.platform.WatchTimes
+import sycamore.platform.Watched
+import sycamore.platform.Write
+import sycamore.platform.keyValueClient
+import sycamore.platform.watch
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+class WatchTest {
+    private class Follower {
+        val state = HashMap<String, String>()
+
+        fun take(watched: Watched) {
+            when (watched) {
+                is Watched.Snapshot -> {
+                    state.clear()
+                    watched.items.forEach(::take)
+                }
+                is Watched.Changes -> watched.items.forEach(::take)
+                is Watched.Unreachable -> Unit
+            }
+        }
+
+        private fun take(item: Item) {
+            val value = item.value
+            if (value == null) state.remove(item.key) else state[item.key] = value.decodeToString()
+        }
+    }
+
+    private fun TestScope.follow(keys: KeyValue): Follower {
+        val follower = Follower()
+        val times = WatchTimes(wait = 30.seconds, relist = 10.minutes)
+        backgroundScope.launch {
+            keys.watch("a/", times, Backoff(random = Random(1)), testTimeSource).collect(follower::take)
+        }
+        return follower
+    }
+
+    private suspend fun KeyValue.write(
+        key: String,
+        value: String,
+    ) {
+        val expected = (get(key) as sycamore.platform.Read.Found).value?.version ?: Revision.ABSENT
+        assertIs<Write.Taken>(put(key, value.encodeToByteArray(), expected))
+    }
+
+    @Test
+    fun `changes during an outage of hours are seen after it`() =
+        runTest {
+            val store = KeyValueStore(testTimeSource)
+            val keys = FaultyKeyValue(store, testTimeSource)
+            val follower = follow(keys)
+            store.write("a/1", "x")
+            delay(1.seconds)
+            assertEquals(mapOf("a/1" to "x"), follower.state)
+            keys.switch { it.copy(down = true) }
+            delay(3.hours)
+            store.write("a/1", "y")
+            store.write("a/2", "z")
+            keys.switch { it.copy(down = false) }
+            delay(11.seconds)
+            assertEquals(mapOf("a/1" to "y", "a/2" to "z"), follower.state)
+        }
+
+    @Test
+    fun `a service restored with lower revisions is followed on`() =
+        runTest {
+            val store = KeyValueStore(testTimeSource)
+            val follower = follow(store)
+            repeat(50) { store.write("a/1", "$it") }
+            delay(1.seconds)
+            store.restore()
+            store.write("a/2", "after")
+            delay(31.seconds)
+            assertEquals(mapOf("a/1" to "49", "a/2" to "after"), follower.state)
+        }
+
+    @Test
+    fun `deleted keys and lapsed leases are seen`() =
+        runTest {
+            val store = KeyValueStore(testTimeSource)
+            val follower = follow(store)
+            store.put("a/1", byteArrayOf(1), Revision.ABSENT, lease = 5.seconds)
+            delay(1.seconds)
+            assertEquals(setOf("a/1"), follower.state.keys)
+            delay(5.seconds)
+            assertTrue(follower.state.isEmpty())
+        }
+
+    @Test
+    fun `stale reads are put right once they end`() =
+        runTest {
+            val store = KeyValueStore(testTimeSource)
+            val keys = FaultyKeyValue(store, testTimeSource)
+            store.write("a/1", "old")
+            keys.switch { it.copy(stale = true) }
+            val follower = follow(keys)
+            store.write("a/1", "new")
+            delay(1.minutes)
+            assertEquals(mapOf("a/1" to "old"), follower.state)
+            keys.switch { it.copy(stale = false) }
+            delay(31.seconds)
+            assertEquals(mapOf("a/1" to "new"), follower.state)
+        }
+
+    @Test
+    fun `an idle hour costs a call for each wait and each listing`() =
+        runTest {
+            val client = keyValueClient(KeyValueStore(testTimeSource)) { time = testTimeSource }
+            follow(client)
+            delay(1.hours)
+            assertTrue(client.counts.total in 120..132, "${client.counts.byKind()}")
+        }
+}
