--- a/programs/src/main/kotlin/sycamore/programs/Answer.kt
+++ b/programs/src/main/kotlin/sycamore/programs/Answer.kt
@@ -1,6 +1,7 @@
 package sycamore.programs
 
 import kotlinx.serialization.Serializable
+import sycamore.model.Digest
 
 /**
  * The whole answer to one call, kept so that a repeat gets the same one.
@@ -19,6 +20,12 @@
     val finishReason: String = "",
     val usage: Usage = Usage(),
 ) {
+    /** Whether the upstream carried the call out. */
+    val isSuccess: Boolean get() = status in SUCCESS
+
+    /** Identifies what was answered, without its cost. */
+    val digest: Digest get() = Digest.of("$status $toolCalls\n".encodeToByteArray() + body)
+
     override fun equals(other: Any?): Boolean =
         other is Answer &&
             status == other.status &&
@@ -31,4 +38,8 @@
     override fun hashCode(): Int = status * 31 + body.contentHashCode()
 
     override fun toString(): String = "status $status, ${body.size} bytes"
+
+    private companion object {
+        val SUCCESS = 200..299
+    }
 }
--- a/programs/src/main/kotlin/sycamore/programs/Record.kt
+++ b/programs/src/main/kotlin/sycamore/programs/Record.kt
@@ -82,13 +82,18 @@
     val tokens: Long,
 ) : Record
 
-/** The reservation for [call] ended; [tokens] of it were spent. */
+/**
+ * The reservation for [call] ended; [tokens] of it were spent.
+ *
+ * @property counted whether the call counts against the budget's calls; false when it did not run.
+ */
 @Serializable
 @SerialName("settled")
 data class BudgetSettled(
     override val program: ProgramId,
     val call: CallId,
     val tokens: Long,
+    val counted: Boolean = true,
 ) : Record
 
 /** The engine beside [host] holds or may hold cache of the program. */
--- /dev/null
+++ b/programs/src/test/kotlin/sycamore/programs/LogMergeTest.kt
@@ -0,0 +1,78 @@
+package sycamore.programs
+
+import net.jqwik.api.Arbitraries
+import net.jqwik.api.Arbitrary
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.Provide
+import sycamore.model.Epoch
+import sycamore.model.HostName
+import sycamore.model.ProgramId
+import sycamore.programs.ProgramStateTest.Companion.id
+import sycamore.programs.ProgramStateTest.Companion.started
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+class LogMergeTest {
+    private val other = ProgramId(id.origin, 2)
+
+    @Provide
+    fun lengths(): Arbitrary<Int> = Arbitraries.integers().between(1, 12)
+
+    @Property(seed = "4711", tries = 200)
+    fun `records in any order and with repeats fold to the state that wrote them`(
+        @ForAll("lengths") length: Int,
+        @ForAll seed: Long,
+    ) {
+        val log = log(id, length)
+        val random = Random(seed)
+        val shuffled = (log + log.filter { random.nextBoolean() }).shuffled(random)
+
+        val merged = LogMerge.merge(shuffled).single()
+
+        assertEquals(log, merged.records)
+        assertEquals(log.size.toLong(), ProgramState.fold(merged.records.map { it.record })!!.version)
+    }
+
+    @Property(seed = "4711", tries = 200)
+    fun `a gap of one program drops what follows in it and holds back no other`(
+        @ForAll("lengths") length: Int,
+        @ForAll("lengths") lost: Int,
+    ) {
+        val log = log(id, length + lost)
+        val whole = log(other, length)
+
+        val merged = LogMerge.merge(log.filter { it.version != length + 1L } + whole).associateBy { it.program }
+
+        assertEquals(log.take(length), merged.getValue(id).records)
+        assertEquals(log.drop(length + 1), merged.getValue(id).dropped)
+        assertEquals(whole, merged.getValue(other).records)
+    }
+
+    @Test
+    fun `what a later home wrote replaces what the lost one had not committed`() {
+        val old = log(id, 4)
+        val new = Numbered(1, 3, Epoch(2), CacheEvicted(id, HostName("h9")))
+
+        assertEquals(old.take(2) + new, LogMerge.merge(old + new).single().records)
+    }
+
+    @Test
+    fun `a program whose beginning was freed is left out`() {
+        assertEquals(emptyList(), LogMerge.merge(log(id, 4).drop(1)))
+    }
+
+    private fun log(
+        program: ProgramId,
+        length: Int,
+    ): List<Numbered> {
+        val records = listOf(started.copy(program = program)) + (2..length).map { held(program, it) }
+        return records.mapIndexed { index, record -> Numbered(index + 1L, index + 1L, Epoch.FIRST, record) }
+    }
+
+    private fun held(
+        program: ProgramId,
+        number: Int,
+    ) = CacheHeld(program, HostName("h$number"), tokens = number.toLong())
+}
--- /dev/null
+++ b/programs/src/test/kotlin/sycamore/programs/SegmentsTest.kt
@@ -0,0 +1,23 @@
+package sycamore.programs
+
+import sycamore.model.Epoch
+import sycamore.programs.ProgramStateTest.Companion.id
+import sycamore.programs.ProgramStateTest.Companion.started
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+class SegmentsTest {
+    @Test
+    fun `a segment is decoded as it was encoded`() {
+        val segment = Segment(id.origin, "attempt", Epoch.FIRST, listOf(Numbered(1, 1, Epoch.FIRST, started)))
+
+        assertEquals(segment, Segments.decode(Segments.encode(segment)))
+    }
+
+    @Test
+    fun `keys sort by sequence`() {
+        val keys = listOf(2L, 10L, 1L).map { Segments.key(id.origin, it) }.sorted()
+
+        assertEquals(listOf(1L, 2L, 10L), keys.map(Segments::sequence))
+    }
+}
