--- a/standins/src/main/kotlin/sycamore/standins/StandinSettings.kt
+++ b/standins/src/main/kotlin/sycamore/standins/StandinSettings.kt
@@ -7,14 +7,17 @@
 import sycamore.model.TomlFile
 import sycamore.model.TomlReader
 import sycamore.platform.ListedHost
+import sycamore.standins.engine.EngineSettings
+import sycamore.standins.engine.WeightStore
 
 /** Which stand-ins one process runs, and where. */
 data class StandinSettings(
     val keyValue: List<Address>,
     val hostList: List<Address>,
-    val engines: List<Address>,
+    val engines: List<EngineSettings>,
     val orders: List<Address>,
     val hosts: List<ListedHost>,
+    val weightsPerSecond: Long = WeightStore.DEFAULT_RATE,
 ) {
     companion object {
         /** Reads [text] of the settings file called [file]. */
@@ -27,9 +30,10 @@
             StandinSettings(
                 keyValue = addresses(reader, "key_value"),
                 hostList = addresses(reader, "host_list"),
-                engines = addresses(reader, "engines"),
+                engines = reader.tables("engines").map(EngineSettings::read),
                 orders = addresses(reader, "orders"),
                 hosts = reader.tables("hosts").map(::host),
+                weightsPerSecond = reader.size("weights_per_second", WeightStore.DEFAULT_RATE),
             )
 
         private fun addresses(
