--- a/bench/src/main/kotlin/sycamore/bench/Main.kt
+++ b/bench/src/main/kotlin/sycamore/bench/Main.kt
@@ -1,7 +1,12 @@
+@file:OptIn(ExperimentalCli::class)
+
 package sycamore.bench
 
 import kotlinx.cli.ArgParser
+import kotlinx.cli.ExperimentalCli
+import sycamore.bench.load.LoadCommand
 import sycamore.daemon.Program
+import kotlin.system.exitProcess
 
 /** Load, policy, history and slope runs. */
 fun main(args: Array<String>) {
@@ -9,5 +14,8 @@
         println("sycamore-bench ${Program.VERSION}")
         return
     }
-    ArgParser("sycamore-bench").parse(args)
+    val parser = ArgParser("sycamore-bench")
+    parser.subcommands(LoadCommand())
+    parser.parse(args)
+    exitProcess(0)
 }
--- /dev/null
+++ b/bench/src/main/kotlin/sycamore/bench/fleet/ProcessUsage.kt
@@ -0,0 +1,73 @@
+package sycamore.bench.fleet
+
+import java.io.File
+import kotlin.time.Duration
+import kotlin.time.toKotlinDuration
+
+/**
+ * What one process has used so far.
+ *
+ * @property cpu processor time since its start.
+ * @property residentBytes resident memory at this moment.
+ */
+data class ProcessUsage(
+    val process: FleetProcess,
+    val pid: Long,
+    val cpu: Duration,
+    val residentBytes: Long,
+    val threads: Int,
+    val descriptors: Int,
+) {
+    companion object {
+        private const val KIBIBYTE = 1024L
+
+        /** The usage of each process of [layout] that is up. */
+        fun of(layout: FleetLayout): List<ProcessUsage> = layout.processes.mapNotNull { of(layout, it) }
+
+        private fun of(
+            layout: FleetLayout,
+            process: FleetProcess,
+        ): ProcessUsage? {
+            val pid = layout.pidOf(process) ?: return null
+            val handle = ProcessHandle.of(pid).orElse(null)?.takeIf { it.isAlive } ?: return null
+            val cpu = handle.info().totalCpuDuration().orElse(null) ?: return null
+            val status = statusOf(pid) ?: return null
+            return ProcessUsage(
+                process = process,
+                pid = pid,
+                cpu = cpu.toKotlinDuration(),
+                residentBytes = (status["VmRSS"] ?: 0) * KIBIBYTE,
+                threads = (status["Threads"] ?: 0).toInt(),
+                descriptors = File("/proc/$pid/fd").list()?.size ?: 0,
+            )
+        }
+
+        private fun statusOf(pid: Long): Map<String, Long>? {
+            val file = File("/proc/$pid/status")
+            if (!file.canRead()) return null
+            return runCatching { file.readLines() }.getOrNull()?.mapNotNull(::field)?.toMap()
+        }
+
+        private fun field(line: String): Pair<String, Long>? {
+            val number =
+                line
+                    .substringAfter(':')
+                    .trim()
+                    .substringBefore(' ')
+                    .toLongOrNull() ?: return null
+            return line.substringBefore(':') to number
+        }
+    }
+}
+
+/** Processor time of each role between [before] and [after], in cores over [elapsed]. */
+fun coresByRole(
+    before: List<ProcessUsage>,
+    after: List<ProcessUsage>,
+    elapsed: Duration,
+): Map<Role, Double> {
+    val earlier = before.associate { it.pid to it.cpu }
+    return after
+        .groupBy { it.process.role }
+        .mapValues { (_, usages) -> usages.sumOf { (it.cpu - (earlier[it.pid] ?: Duration.ZERO)) / elapsed } }
+}
--- /dev/null
+++ b/bench/src/test/kotlin/sycamore/bench/load/TallyTest.kt
@@ -0,0 +1,32 @@
+package sycamore.bench.load
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.milliseconds
+
+class TallyTest {
+    @Test
+    fun `counts answers and errors by kind`() {
+        val tally = Tally()
+        tally.answered(10.milliseconds, 4.milliseconds)
+        tally.answered(20.milliseconds, null)
+        repeat(2) { tally.failed("answer cut short") }
+        tally.failed("EOFException")
+        assertEquals(2, tally.answers)
+        assertEquals(3, tally.errors)
+        assertEquals(mapOf("EOFException" to 1L, "answer cut short" to 2L), tally.errorsByKind)
+        assertEquals(1, tally.firstTokenTimes.totalCount)
+    }
+
+    @Test
+    fun `adds up rounds`() {
+        val tally = Tally()
+        val other = Tally()
+        other.answered(10.milliseconds, 4.milliseconds)
+        other.failed("EOFException")
+        repeat(3) { tally.add(other) }
+        assertEquals(3, tally.answers)
+        assertEquals(3, tally.errors)
+        assertEquals(10.0, tally.callTimes.millisAt(50.0), absoluteTolerance = 0.01)
+    }
+}
