--- a/bench/src/main/kotlin/sycamore/bench/Main.kt
+++ b/bench/src/main/kotlin/sycamore/bench/Main.kt
@@ -4,8 +4,18 @@
 
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
 import sycamore.bench.history.HistoryCommand
+import sycamore.bench.load.LoadCommand
 import sycamore.daemon.Program
+import kotlin.system.exitProcess
+
+private val commands: Array<Subcommand>
+    get() =
+        arrayOf(
+            HistoryCommand(),
+            LoadCommand(),
+        )
 
 /** Load, policy, history and slope runs. */
 fun main(args: Array<String>) {
@@ -14,6 +24,7 @@
         return
     }
     val parser = ArgParser("sycamore-bench")
-    parser.subcommands(HistoryCommand())
+    parser.subcommands(*commands)
     parser.parse(args)
+    exitProcess(0)
 }
