Use the key-value stand-in's own faults in the history run

Cause: the run had a second copy of the same faults. Change: FaultyKeyValue behind each daemon's KeyValueClient.

--- a/bench/src/main/kotlin/sycamore/bench/history/Fleet.kt
+++ b/bench/src/main/kotlin/sycamore/bench/history/Fleet.kt
@@ -36,11 +36,13 @@
 import sycamore.platform.Read
 import sycamore.platform.Revision
 import sycamore.platform.Write
+import sycamore.platform.keyValueClient
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 
 /** A daemon that runs in the fleet, and its parts that callers and checks ask. */
 internal class RunningDaemon(
@@ -62,8 +64,8 @@
     private val outside: CoroutineScope,
     private val dispatcher: CoroutineDispatcher,
     private val clock: Clock,
+    private val time: TimeSource,
     private val keys: KeyValue,
-    private val state: FaultState,
     private val recorder: Recorder,
     private val upstreams: Upstreams,
     private val network: Network,
@@ -138,7 +140,7 @@
     ): RunningDaemon {
         val inForce = InForce()
         val members = Members()
-        val ownKeys = FaultyKeys(keys, state)
+        val ownKeys = keyValueClient(keys) { time = this@Fleet.time }
         val exchange = network.exchangeOf(host.name)
         scope.launch { inForce.follow(ownKeys) }
         scope.launch { members.follow { listed() } }
@@ -197,7 +199,7 @@
 
     /** Publishes the configuration under the next generation. */
     suspend fun publish() {
-        val read = keys.get(InForce.KEY) as Read.Found
+        val read = keys.get(InForce.KEY) as? Read.Found ?: return
         val last = read.value?.value?.let { InForce.decode(it).generation } ?: Generation.NONE
         val next = configuration(last.next())
         val expected = read.value?.version ?: Revision.ABSENT
