--- a/daemon/src/main/kotlin/sycamore/daemon/Http.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/Http.kt
@@ -7,8 +7,6 @@
 import org.http4k.core.BodyMode
 import org.http4k.core.HttpHandler
 import org.http4k.server.Http4kServer
-import org.http4k.server.Jetty
-import org.http4k.server.asServer
 import sycamore.model.Address
 
 /** HTTP servers and clients as every process of the system sets them up. */
@@ -19,18 +17,17 @@
     /** A client whose answers are read as they come. */
     fun client(): HttpHandler = JettyClient(bodyMode = BodyMode.Stream)
 
-    /** Starts serving [handler] on [address]. */
+    /** Starts serving [handler] on [address]. Port 0 takes a free one. */
     fun serve(
         address: Address,
         handler: HttpHandler,
-    ): Http4kServer = handler.asServer(Jetty(address.port, server(address))).start()
-
-    private fun server(address: Address): Server {
+    ): Http4kServer {
         val server = Server(QueuedThreadPool(MAX_THREADS, MIN_THREADS))
         val connector = ServerConnector(server, 1, 1)
         connector.host = address.ip
         connector.port = address.port
         server.addConnector(connector)
-        return server
+        server.handler = JettyHandler(handler)
+        return JettyServer(server).start()
     }
 }
--- a/entry/src/main/kotlin/sycamore/entry/ChatAnswer.kt
+++ b/entry/src/main/kotlin/sycamore/entry/ChatAnswer.kt
@@ -7,81 +7,111 @@
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.buildJsonObject
-import sycamore.links.Message
 import sycamore.links.Part
 import sycamore.links.Whole
 import sycamore.programs.Answer
+import sycamore.programs.Refusal
 import sycamore.programs.Usage
 
-/** Renders the answer to one chat completion, as one JSON object or as server-sent events. */
+/**
+ * Renders the answer to one chat completion, as one JSON object or as server-sent events.
+ *
+ * @param created seconds since 1970.
+ * @param includeUsage whether the events end with one that tells the tokens used.
+ */
 internal class ChatAnswer(
     private val id: String,
     private val model: String,
     private val created: Long,
-) {
+    private val includeUsage: Boolean,
+) : Rendering {
     private val decoder = Utf8Decoder()
 
-    /** The event for [reply]; empty for replies that callers do not see. */
-    fun event(reply: Message): ByteArray =
-        when (reply) {
-            is Part ->
-                decoder
-                    .decode(
-                        reply.bytes,
-                    ).let { if (it.isEmpty()) ByteArray(0) else event(chunk(delta(it), null)) }
-            is Whole -> event(chunk(lastDelta(reply.answer), reply.answer)) + "data: [DONE]\n\n".encodeToByteArray()
-            else -> ByteArray(0)
-        }
+    override fun begin(): ByteArray = event(chunk(textDelta("", "role" to JsonPrimitive("assistant"))))
+
+    override fun part(part: Part): ByteArray {
+        val text = decoder.decode(part.bytes)
+        return if (text.isEmpty()) ByteArray(0) else event(chunk(textDelta(text)))
+    }
+
+    override fun whole(whole: Whole): ByteArray {
+        val rest = decoder.finish()
+        val text = if (rest.isEmpty()) ByteArray(0) else event(chunk(textDelta(rest)))
+        val calls = whole.answer.toolCalls?.let { event(chunk(callsDelta(it))) } ?: ByteArray(0)
+        val finish = event(chunk(JsonObject(emptyMap()), whole.answer.finishReason))
+        val usage = if (includeUsage) event(usageChunk(whole.answer.usage)) else ByteArray(0)
+        return text + calls + finish + usage + DONE
+    }
+
+    override fun broken(refusal: Refusal): ByteArray = "data: ${Problem.event(refusal)}\n\n".encodeToByteArray()
 
     /** The whole answer whose text is [text]. */
-    fun whole(
+    fun complete(
         text: String,
         answer: Answer,
     ): String {
         val message =
             buildJsonObject {
                 put("role", JsonPrimitive("assistant"))
-                put("content", JsonPrimitive(text))
+                put("content", if (text.isEmpty() && answer.toolCalls != null) JsonNull else JsonPrimitive(text))
                 answer.toolCalls?.let { put("tool_calls", Json.parseToJsonElement(it)) }
             }
-        return completion("chat.completion", "message", message, answer).toString()
+        val choice = choice("message", message, answer.finishReason)
+        return completion("chat.completion", listOf(choice), usage(answer.usage)).toString()
     }
 
     private fun event(chunk: JsonObject) = "data: $chunk\n\n".encodeToByteArray()
 
-    private fun delta(text: String) = buildJsonObject { put("content", JsonPrimitive(text)) }
+    private fun chunk(
+        delta: JsonObject,
+        finishReason: String = "",
+    ): JsonObject = chunk(listOf(choice("delta", delta, finishReason)), JsonNull)
 
-    private fun lastDelta(answer: Answer) =
-        buildJsonObject { answer.toolCalls?.let { put("tool_calls", Json.parseToJsonElement(it)) } }
+    private fun usageChunk(usage: Usage): JsonObject = chunk(emptyList(), usage(usage))
 
     private fun chunk(
-        delta: JsonObject,
-        answer: Answer?,
-    ): JsonObject = completion("chat.completion.chunk", "delta", delta, answer)
+        choices: List<JsonObject>,
+        usage: JsonElement,
+    ): JsonObject = completion("chat.completion.chunk", choices, usage.takeIf { includeUsage })
+
+    private fun textDelta(
+        text: String,
+        vararg others: Pair<String, JsonElement>,
+    ) = JsonObject(mapOf(*others, "content" to JsonPrimitive(text)))
+
+    private fun callsDelta(toolCalls: String): JsonObject {
+        val calls = Json.parseToJsonElement(toolCalls) as? JsonArray ?: JsonArray(emptyList())
+        val indexed = calls.filterIsInstance<JsonObject>().mapIndexed { i, call -> withIndex(call, i) }
+        return JsonObject(mapOf("tool_calls" to JsonArray(indexed)))
+    }
+
+    private fun withIndex(
+        call: JsonObject,
+        index: Int,
+    ) = JsonObject(mapOf("index" to JsonPrimitive(index)) + call.filterKeys { it != "index" })
 
     private fun completion(
         type: String,
-        content: String,
-        value: JsonElement,
-        answer: Answer?,
+        choices: List<JsonObject>,
+        usage: JsonElement?,
     ): JsonObject =
         buildJsonObject {
-            put("id", JsonPrimitive(id))
+            put("id", JsonPrimitive("chatcmpl-$id"))
             put("object", JsonPrimitive(type))
             put("created", JsonPrimitive(created))
             put("model", JsonPrimitive(model))
-            put("choices", JsonArray(listOf(choice(content, value, answer))))
-            answer?.let { put("usage", usage(it.usage)) }
+            put("choices", JsonArray(choices))
+            usage?.let { put("usage", it) }
         }
 
     private fun choice(
         content: String,
         value: JsonElement,
-        answer: Answer?,
+        finishReason: String,
     ) = buildJsonObject {
         put("index", JsonPrimitive(0))
         put(content, value)
-        put("finish_reason", answer?.let { JsonPrimitive(it.finishReason) } ?: JsonNull)
+        put("finish_reason", if (finishReason.isEmpty()) JsonNull else JsonPrimitive(finishReason))
     }
 
     private fun usage(usage: Usage) =
@@ -91,4 +121,8 @@
             put("total_tokens", JsonPrimitive(usage.total))
             put("prompt_tokens_details", buildJsonObject { put("cached_tokens", JsonPrimitive(usage.cachedTokens)) })
         }
+
+    private companion object {
+        val DONE = "data: [DONE]\n\n".encodeToByteArray()
+    }
 }
--- a/entry/src/main/kotlin/sycamore/entry/Main.kt
+++ b/entry/src/main/kotlin/sycamore/entry/Main.kt
@@ -40,7 +40,7 @@
         launch { daemon.run() }
         launch { members.follow(HttpHostList.at(settings.hostList, http, Threads.blocking)) }
         LinkServer.listen(settings.name, settings.listen, daemon::serve)
-        val callers = EntryHttp(this, inForce, daemon)
+        val callers = EntryHttp(inForce, daemon)
         val admin = AdminHttp(inForce).handler
         Http.serve(settings.http, routes(admin, callers.handler))
         CompletableDeferred<Unit>().await()
--- a/entry/src/main/kotlin/sycamore/entry/Problem.kt
+++ b/entry/src/main/kotlin/sycamore/entry/Problem.kt
@@ -1,9 +1,11 @@
 package sycamore.entry
 
-import kotlinx.serialization.json.JsonPrimitive
-import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.EncodeDefault
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
 import org.http4k.core.Response
 import org.http4k.core.Status
+import sycamore.programs.Outcome
 import sycamore.programs.Refusal
 
 /** Refusals as `application/problem+json`, with the error object that chat clients expect beside it. */
@@ -14,24 +16,61 @@
             Response(Status(refusal.status, null))
                 .header("content-type", "application/problem+json")
                 .header("sycamore-outcome", refusal.outcome.text)
-                .body(body(refusal))
+                .body(Json.encodeToString(body(refusal)))
         val wait = refusal.retryAfter ?: return response
         return response.header("retry-after", wait.inWholeSeconds.coerceAtLeast(1).toString())
     }
 
-    private fun body(refusal: Refusal): String =
-        buildJsonObject {
-            put("title", JsonPrimitive(refusal.outcome.text))
-            put("status", JsonPrimitive(refusal.status))
-            put("detail", JsonPrimitive(refusal.detail))
-            put("outcome", JsonPrimitive(refusal.outcome.text))
-            put("error", error(refusal))
-        }.toString()
-
-    private fun error(refusal: Refusal) =
-        buildJsonObject {
-            put("message", JsonPrimitive(refusal.detail))
-            put("type", JsonPrimitive(refusal.outcome.text))
-            put("code", JsonPrimitive(refusal.status))
+    /** The response to a request that did not run, for the reason in [detail]. */
+    fun notRun(
+        status: Int,
+        detail: String,
+    ): Response = response(Refusal(Outcome.NOT_RUN, status, detail))
+
+    /** The error that a stream of events ends with when it cannot be completed, as JSON. */
+    fun event(refusal: Refusal): String = Json.encodeToString(body(refusal))
+
+    private fun body(refusal: Refusal) =
+        ProblemBody(
+            title = title(refusal.outcome),
+            status = refusal.status,
+            detail = refusal.detail,
+            outcome = refusal.outcome.text,
+            error = ErrorBody(refusal.detail, errorType(refusal.status), refusal.outcome.text),
+        )
+
+    private fun title(outcome: Outcome): String =
+        when (outcome) {
+            Outcome.NOT_RUN -> "The request did not run"
+            Outcome.UNKNOWN -> "The request may have run and will not be run again"
+            Outcome.FAILED -> "The request ran and failed"
+        }
+
+    private fun errorType(status: Int): String =
+        when (status) {
+            HttpStatus.UNAUTHORIZED -> "authentication_error"
+            HttpStatus.TOO_MANY_REQUESTS -> "rate_limit_error"
+            in CLIENT_ERRORS -> "invalid_request_error"
+            else -> "server_error"
         }
+
+    private val CLIENT_ERRORS = 400..499
 }
+
+/** A refusal in the shape of RFC 9457, with [error] as chat clients read it. */
+@Serializable
+private data class ProblemBody(
+    val title: String,
+    val status: Int,
+    val detail: String,
+    val outcome: String,
+    val error: ErrorBody,
+)
+
+@Serializable
+private data class ErrorBody(
+    val message: String,
+    val type: String,
+    val code: String,
+    @EncodeDefault val param: String? = null,
+)
--- a/entry/src/main/kotlin/sycamore/entry/ReplyStream.kt
+++ b/entry/src/main/kotlin/sycamore/entry/ReplyStream.kt
@@ -1,45 +1,42 @@
 package sycamore.entry
 
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.channels.ReceiveChannel
-import kotlinx.coroutines.channels.produce
-import kotlinx.coroutines.flow.Flow
-import kotlinx.coroutines.runBlocking
-import sycamore.links.Message
+import org.http4k.core.Response
+import sycamore.links.Part
+import sycamore.links.Refused
+import sycamore.links.Whole
+import sycamore.programs.Refusal
 import java.io.IOException
 import java.io.InputStream
 
-/** Replies of one call, read by the blocking thread that serves the caller. */
-internal class Replies(
-    scope: CoroutineScope,
-    flow: Flow<Message>,
-) : AutoCloseable {
-    private val channel: ReceiveChannel<Message> =
-        scope.produce(capacity = BUFFERED) { flow.collect { send(it) } }
+/** Turns the replies of a call into the bytes of a response's body. */
+internal interface Rendering {
+    /** The bytes before those of the first reply. */
+    fun begin(): ByteArray = ByteArray(0)
 
-    /** The next reply, or null after the last. Blocks until there is one. */
-    fun next(): Message? =
-        runBlocking { channel.receiveCatching() }
-            .also {
-                it.exceptionOrNull()?.let { e ->
-                    throw e
-                }
-            }.getOrNull()
+    /** The bytes for [part]. */
+    fun part(part: Part): ByteArray
 
-    override fun close() = channel.cancel()
+    /** The bytes that complete the body. */
+    fun whole(whole: Whole): ByteArray = ByteArray(0)
 
-    private companion object {
-        const val BUFFERED = 64
-    }
+    /** The bytes that tell of [refusal] before the body is cut off. */
+    fun broken(refusal: Refusal): ByteArray = ByteArray(0)
 }
 
-/** The body of a response whose bytes come from the replies of a call. [render] turns a reply into bytes. */
+/**
+ * The body of a response whose bytes come from the replies of a call.
+ *
+ * Reaches its end only when the answer is whole. Otherwise reading fails, so that the server cuts the response off and
+ * the caller cannot take the part for the whole.
+ */
 internal class ReplyStream(
     private val replies: Replies,
-    private val render: (Message) -> ByteArray,
+    private val rendering: Rendering,
 ) : InputStream() {
-    private var buffer = ByteArray(0)
+    private var buffer = rendering.begin()
     private var position = 0
+    private var isWhole = false
+    private var failure: Refusal? = null
 
     override fun read(): Int {
         val one = ByteArray(1)
@@ -52,9 +49,9 @@
         length: Int,
     ): Int {
         while (position == buffer.size) {
-            val reply = nextReply() ?: return -1
-            buffer = render(reply)
-            position = 0
+            if (isWhole) return -1
+            failure?.let { throw IOException("the answer broke off: ${it.detail}") }
+            fill()
         }
         val count = minOf(length, buffer.size - position)
         buffer.copyInto(target, offset, position, position + count)
@@ -62,16 +59,32 @@
         return count
     }
 
-    private fun nextReply(): Message? =
-        try {
-            replies.next()
-        } catch (e: Exception) {
-            throw IOException("the answer broke off", e)
-        }
+    private fun fill() {
+        position = 0
+        buffer =
+            when (val reply = replies.next()) {
+                is Part -> rendering.part(reply)
+                is Whole -> rendering.whole(reply).also { isWhole = true }
+                is Refused -> rendering.broken(reply.refusal).also { failure = reply.refusal }
+                else -> ByteArray(0)
+            }
+    }
 
     override fun close() = replies.close()
 
-    private companion object {
-        const val BYTE_MASK = 0xff
+    companion object {
+        private const val BYTE_MASK = 0xff
+
+        /**
+         * [response] with the answer in [replies] as its body, rendered by [rendering].
+         *
+         * The body is always chunked. Without chunks the end of the connection would be the end of the body, and a
+         * caller could not tell a cut-off one.
+         */
+        fun respond(
+            response: Response,
+            replies: Replies,
+            rendering: Rendering,
+        ): Response = response.header("transfer-encoding", "chunked").body(ReplyStream(replies, rendering))
     }
 }
--- a/entry/src/main/kotlin/sycamore/entry/Utf8Decoder.kt
+++ b/entry/src/main/kotlin/sycamore/entry/Utf8Decoder.kt
@@ -21,4 +21,7 @@
         rest = ByteArray(input.remaining()).also { input.get(it) }
         return output.flip().toString()
     }
+
+    /** What is left when no more bytes come: a replacement character for a character that was cut off. */
+    fun finish(): String = rest.decodeToString().also { rest = ByteArray(0) }
 }
--- a/programs/src/main/kotlin/sycamore/programs/ChatBody.kt
+++ b/programs/src/main/kotlin/sycamore/programs/ChatBody.kt
@@ -24,6 +24,13 @@
     /** Whether the caller wants server-sent events. */
     val isStream: Boolean get() = (fields["stream"] as? JsonPrimitive)?.booleanOrNull ?: false
 
+    /** Whether the caller wants the tokens used at the end of a streamed answer. */
+    val includesUsage: Boolean
+        get() {
+            val options = fields["stream_options"] as? JsonObject
+            return (options?.get("include_usage") as? JsonPrimitive)?.booleanOrNull ?: false
+        }
+
     /** The upper bound of the answer's length in tokens. */
     val maxTokens: Long get() = limit("max_completion_tokens") ?: limit("max_tokens") ?: DEFAULT_MAX_TOKENS
 
@@ -54,6 +61,11 @@
         /** Parses [body], or returns null when it is not the body of a chat completion. */
         fun parse(body: ByteArray): ChatBody? {
             val fields = parseJson(body) as? JsonObject ?: return null
+            return of(fields)
+        }
+
+        /** The body with [fields], or null when they are not those of a chat completion. */
+        fun of(fields: JsonObject): ChatBody? {
             val list = fields["messages"] as? JsonArray ?: return null
             val messages = list.map { message(it) ?: return null }
             return ChatBody(fields, messages)
