Check whole publishes, refuse dangerous ones and keep an audit trail

Cause: files were checked one by one, a publish overwrote what another operator had changed, nothing was refused, a lost answer stayed unknown, and nothing recorded who changed what.

Change: checks within each file and across all, with positions; a publish merges over a concurrent one that touches other parts and reports a conflict otherwise; it carries a unique id and the configuration keeps the line of the last 64, so that lost answers are settled and an out-of-date directory is noticed; removals, cuts, replaced keys and contracts that guard repeats have to be confirmed by name. Audit records have a key each, are written in order, once, and after an outage; publishes are recorded before they can take effect. New commands: check, show, audit, key.

Shared types: Service gains models, deadline and limits, Configuration gains publishes, Checked.Valid gains source, all with defaults. bin/fleet writes no service file without upstreams, since check refuses one.

--- /dev/null
+++ b/ctl/src/main/kotlin/sycamore/ctl/CommandLine.kt
@@ -0,0 +1,62 @@
+@file:OptIn(ExperimentalCli::class)
+
+package sycamore.ctl
+
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlin.system.exitProcess
+
+/** A command of `sycamorectl`. Its [run] says how it ended. */
+internal abstract class Command(
+    name: String,
+    description: String,
+    protected val terminal: Terminal,
+) : Subcommand(name, description) {
+    /** How the command ended; null while it was not run. */
+    var exit: Exit? = null
+        private set
+
+    /** Does what the command line asked for. */
+    abstract suspend fun run(): Exit
+
+    override fun execute() {
+        exit = runCommand(terminal) { run() }
+    }
+}
+
+/** A command that talks to the platform and to daemons. */
+internal abstract class OnlineCommand(
+    name: String,
+    description: String,
+    terminal: Terminal,
+) : Command(name, description, terminal) {
+    private val settings by option(ArgType.String, "settings", "s", "TOML file that names the services below")
+    private val keyValue by option(ArgType.String, "key-value", "k", "IP:port of the key-value service")
+    private val hostList by option(ArgType.String, "host-list", "l", "IP:port of the list of hosts")
+
+    /** Does what the command line asked for, by way of [fleet]. */
+    abstract suspend fun run(fleet: FleetClient): Exit
+
+    override suspend fun run(): Exit = FleetClient.open(settings, keyValue, hostList).use { run(it) }
+}
+
+/** The command line was understood but asks for something that cannot be. */
+internal class MisuseException(
+    message: String,
+) : Exception(message)
+
+/** A parser whose mistakes end the process with [Exit.MISUSE]; the library's own code is another. */
+internal fun commandLine(
+    name: String,
+    terminal: Terminal,
+): ArgParser {
+    val parser = ArgParser(name, strictSubcommandOptionsOrder = false)
+    val end = { message: String, code: Int ->
+        if (code == 0) terminal.say(message) else terminal.note(message)
+        exitProcess(if (code == 0) Exit.DONE.code else Exit.MISUSE.code)
+    }
+    parser.javaClass.getMethod("setOutputAndTerminate\$kotlinx_cli", Function2::class.java).invoke(parser, end)
+    return parser
+}
--- a/ctl/src/main/kotlin/sycamore/ctl/ConfigurationFiles.kt
+++ b/ctl/src/main/kotlin/sycamore/ctl/ConfigurationFiles.kt
@@ -2,6 +2,7 @@
 
 import sycamore.model.Checked
 import sycamore.model.Configuration
+import sycamore.model.ConfigurationCheck
 import sycamore.model.Finding
 import sycamore.model.Fleet
 import sycamore.model.FleetFile
@@ -9,21 +10,20 @@
 import sycamore.model.Service
 import sycamore.model.ServiceFile
 import java.io.File
+import java.io.IOException
 
 /** The directory that operators edit: `fleet.toml` and one file per service. */
 internal class ConfigurationFiles(
     private val directory: File,
 ) {
-    /** Reads and checks all files as the configuration of [generation]. */
-    fun read(
-        generation: Generation,
-        publishId: String,
-    ): Checked<Configuration> {
+    /** Reads all files and checks them, each alone and all together. The result has no generation yet. */
+    fun read(): Checked<Configuration> {
         val findings = ArrayList<Finding>()
         val fleet = take(FleetFile.NAME, findings, FleetFile::read)
         val services = serviceFiles().mapNotNull { take(it, findings, ServiceFile::read) }
+        if (fleet != null) findings += ConfigurationCheck.check(fleet, services)
         if (fleet == null || findings.isNotEmpty()) return Checked.Invalid(findings.sorted())
-        return Checked.Valid(configuration(generation, publishId, fleet, services))
+        return Checked.Valid(configuration(fleet.value, services.map { it.value }))
     }
 
     private fun serviceFiles(): List<String> =
@@ -36,22 +36,34 @@
         name: String,
         findings: MutableList<Finding>,
         read: (String, String) -> Checked<T>,
-    ): T? {
-        val file = File(directory, name)
-        if (!file.isFile) {
-            findings += Finding(name, 1, 1, "no such file", "a file called $name in $directory")
-            return null
-        }
-        return when (val checked = read(name, file.readText())) {
-            is Checked.Valid -> checked.value
+    ): Checked.Valid<T>? =
+        when (val checked = read(name, textOf(name, findings) ?: return null)) {
+            is Checked.Valid -> checked
             is Checked.Invalid -> null.also { findings += checked.findings }
         }
+
+    private fun textOf(
+        name: String,
+        findings: MutableList<Finding>,
+    ): String? {
+        val file = File(directory, name)
+        return try {
+            file.readText()
+        } catch (_: IOException) {
+            findings += Finding(name, 1, 1, "no readable file", "a file called $name in $directory")
+            null
+        }
     }
 
     private fun configuration(
-        generation: Generation,
-        publishId: String,
         fleet: Fleet,
         services: List<Service>,
-    ) = Configuration(generation, publishId, fleet.places, fleet.links, fleet.callers, services)
+    ) = Configuration(
+        generation = Generation.NONE,
+        publishId = "",
+        places = fleet.places,
+        links = fleet.links,
+        callers = fleet.callers.sortedBy { it.name.value },
+        services = services.sortedBy { it.name.value },
+    )
 }
--- /dev/null
+++ b/ctl/src/main/kotlin/sycamore/ctl/FleetClient.kt
@@ -0,0 +1,88 @@
+package sycamore.ctl
+
+import sycamore.daemon.Http
+import sycamore.daemon.Threads
+import sycamore.model.Address
+import sycamore.model.Checked
+import sycamore.model.TomlFile
+import sycamore.model.TomlReader
+import sycamore.platform.HttpHostList
+import sycamore.platform.HttpKeyValue
+import sycamore.platform.KeyValue
+import sycamore.platform.ReadHostList
+import sycamore.platform.keyValueClient
+import java.io.File
+import java.io.IOException
+
+/** Where the operators' command line finds the fleet. */
+internal data class FleetSettings(
+    val keyValue: Address? = null,
+    val hostList: Address? = null,
+) {
+    companion object {
+        /** Reads [text] of the settings file called [file]. */
+        fun read(
+            file: String,
+            text: String,
+        ): Checked<FleetSettings> = TomlFile.read(file, text, ::settings)
+
+        private fun settings(reader: TomlReader): FleetSettings =
+            FleetSettings(
+                keyValue = if (reader.has("key_value")) reader.address("key_value") else null,
+                hostList = if (reader.has("host_list")) reader.address("host_list") else null,
+            )
+    }
+}
+
+/** The platform's services and the daemons, as the operators' command line meets them. */
+internal class FleetClient private constructor(
+    private val settings: FleetSettings,
+) : AutoCloseable {
+    private val http = Http.client()
+
+    /** The key-value service. */
+    val keys: KeyValue by lazy {
+        val address = settings.keyValue ?: throw MisuseException("expected --key-value IP:port, found none")
+        keyValueClient(HttpKeyValue(address, http, Threads.blocking))
+    }
+
+    /** The list of hosts, or null when none was named. */
+    val hosts: ReadHostList? = settings.hostList?.let { HttpHostList.at(it, http, Threads.blocking) }
+
+    override fun close() = Unit
+
+    companion object {
+        /** Opens the fleet that the file at [path] names; [keyValue] and [hostList] go before the file. */
+        fun open(
+            path: String?,
+            keyValue: String?,
+            hostList: String?,
+        ): FleetClient {
+            val settings = if (path == null) FleetSettings() else read(path)
+            return FleetClient(
+                FleetSettings(
+                    keyValue = keyValue?.let { address("--key-value", it) } ?: settings.keyValue,
+                    hostList = hostList?.let { address("--host-list", it) } ?: settings.hostList,
+                ),
+            )
+        }
+
+        private fun read(path: String): FleetSettings {
+            val text =
+                try {
+                    File(path).readText()
+                } catch (e: IOException) {
+                    throw MisuseException("cannot read --settings: ${e.message}")
+                }
+            return when (val checked = FleetSettings.read(path, text)) {
+                is Checked.Valid -> checked.value
+                is Checked.Invalid -> throw MisuseException(checked.findings.joinToString("\n"))
+            }
+        }
+
+        private fun address(
+            option: String,
+            text: String,
+        ): Address = Address.parse(text) ?: throw MisuseException("expected IP:port for $option, found '$text'")
+    }
+}
--- /dev/null
+++ b/ctl/src/main/kotlin/sycamore/ctl/KeyCommand.kt
@@ -0,0 +1,32 @@
+package sycamore.ctl
+
+import kotlinx.cli.ArgType
+import sycamore.model.Digest
+import java.security.SecureRandom
+import kotlin.io.encoding.Base64
+
+/** `sycamorectl key`: makes the key of an account, and what the fleet's file keeps of it. */
+internal class KeyCommand(
+    terminal: Terminal,
+) : Command("key", "Make the key of an account, and the lines of fleet.toml that accept it", terminal) {
+    private val caller by argument(ArgType.String, description = "Name of the account")
+    private val random = SecureRandom()
+
+    override suspend fun run(): Exit {
+        val key = Base64.UrlSafe.withPadding(Base64.PaddingOption.ABSENT).encode(bytes(KEY_BYTES))
+        val salt = bytes(SALT_BYTES).toHexString()
+        terminal.note("key for $caller, shown only now: $key")
+        terminal.say("[[callers]]")
+        terminal.say("name = \"$caller\"")
+        terminal.say("salt = \"$salt\"")
+        terminal.say("key_hash = \"${Digest.of((salt + key).encodeToByteArray())}\"")
+        return Exit.DONE
+    }
+
+    private fun bytes(count: Int) = ByteArray(count).also(random::nextBytes)
+
+    private companion object {
+        const val KEY_BYTES = 32
+        const val SALT_BYTES = 16
+    }
+}
--- /dev/null
+++ b/ctl/src/main/kotlin/sycamore/ctl/ShowCommand.kt
@@ -0,0 +1,70 @@
+package sycamore.ctl
+
+import kotlinx.cli.ArgType
+import kotlinx.cli.default
+import sycamore.daemon.ConfigurationCodec
+import sycamore.daemon.InForce
+import sycamore.model.Configuration
+import sycamore.platform.Item
+import sycamore.platform.Read
+import sycamore.platform.retryRead
+import kotlin.time.Duration.Companion.seconds
+
+/** `sycamorectl show`: prints the published configuration, or what became of a publish. */
+internal class ShowCommand(
+    terminal: Terminal,
+) : OnlineCommand("show", "Print the published configuration, or what became of a publish", terminal) {
+    private val json by option(ArgType.Boolean, "json", description = "Print it as JSON").default(false)
+    private val publish by option(ArgType.String, "publish", description = "Id of a publish to ask about")
+
+    override suspend fun run(fleet: FleetClient): Exit {
+        val read: Read<Item?> = retryRead(PATIENCE) { fleet.keys.get(InForce.KEY) }
+        if (read !is Read.Found) {
+            terminal.note("the key-value service does not answer; nothing is known")
+            return Exit.FAILED
+        }
+        val bytes = read.value?.value
+        val configuration = bytes?.let(ConfigurationCodec::decodeOrNull)
+        val id = publish
+        return when {
+            id != null -> showPublish(configuration, id)
+            configuration == null -> terminal.note("nothing is published").let { Exit.FAILED }
+            json -> terminal.say(ConfigurationCodec.text(configuration)).let { Exit.DONE }
+            else -> showText(configuration)
+        }
+    }
+
+    private fun showPublish(
+        configuration: Configuration?,
+        id: String,
+    ): Exit {
+        val mark = configuration?.publishes?.firstOrNull { it.publishId == id }
+        if (mark != null) {
+            terminal.say("accepted: generation ${mark.generation}, at ${mark.at}")
+            return Exit.DONE
+        }
+        val oldest = configuration?.publishes?.firstOrNull()?.generation
+        terminal.say("not accepted, as far back as generation ${oldest ?: 0}")
+        return Exit.FAILED
+    }
+
+    private fun showText(configuration: Configuration): Exit {
+        val last = configuration.publishes.lastOrNull()
+        terminal.say("generation ${configuration.generation}, published by ${last?.by ?: "?"} at ${last?.at ?: "?"}")
+        val places = configuration.places.joinToString { "${it.name} (${it.region})" }
+        terminal.say("places: $places")
+        terminal.say("callers: ${configuration.callers.joinToString { it.name.value }}")
+        configuration.services.forEach { service ->
+            val kind = service.kind.name.lowercase()
+            terminal.say("service ${service.name} ($kind): capacity ${service.capacity}")
+            service.upstreams.forEach {
+                terminal.say("  ${it.host} in ${it.place} at ${it.address}, capacity ${it.capacity}")
+            }
+        }
+        return Exit.DONE
+    }
+
+    private companion object {
+        val PATIENCE = 10.seconds
+    }
+}
--- a/daemon/src/main/kotlin/sycamore/daemon/InForce.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/InForce.kt
@@ -8,7 +8,6 @@
 import sycamore.model.Configuration
 import sycamore.model.Generation
 import sycamore.platform.KeyValue
-import sycamore.platform.KeyValueWire
 import sycamore.platform.Read
 import sycamore.platform.Revision
 import kotlin.time.Duration.Companion.seconds
@@ -59,10 +58,9 @@
         private val PAUSE = 1.seconds
 
         /** Decodes a published configuration. */
-        fun decode(bytes: ByteArray): Configuration = KeyValueWire.json.decodeFromString(bytes.decodeToString())
+        fun decode(bytes: ByteArray): Configuration = ConfigurationCodec.decode(bytes)
 
         /** Encodes [configuration] for publishing. */
-        fun encode(configuration: Configuration): ByteArray =
-            KeyValueWire.json.encodeToString(configuration).encodeToByteArray()
+        fun encode(configuration: Configuration): ByteArray = ConfigurationCodec.encode(configuration)
     }
 }
--- a/host/src/main/kotlin/sycamore/host/HostDaemon.kt
+++ b/host/src/main/kotlin/sycamore/host/HostDaemon.kt
@@ -3,7 +3,7 @@
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.flowOf
-import sycamore.daemon.InForce
+import sycamore.daemon.ConfigurationCodec
 import sycamore.links.AskConfiguration
 import sycamore.links.AskStatus
 import sycamore.links.Call
@@ -75,7 +75,7 @@
     private fun configuration(ask: AskConfiguration): Flow<Message> {
         val configuration = inForce.configuration.value
         if (configuration == null || configuration.generation <= ask.above) return flowOf()
-        return flowOf(ConfigurationText(configuration.generation, InForce.encode(configuration).decodeToString()))
+        return flowOf(ConfigurationText(configuration.generation, ConfigurationCodec.text(configuration)))
     }
 
     private fun notRun(
--- a/model/src/main/kotlin/sycamore/model/Finding.kt
+++ b/model/src/main/kotlin/sycamore/model/Finding.kt
@@ -22,9 +22,10 @@
 
 /** What reading a file gave. */
 sealed interface Checked<out T> {
-    /** The file is right. */
+    /** The file is right. [source] tells where its values stand. */
     data class Valid<T>(
         val value: T,
+        val source: Source = Source(""),
     ) : Checked<T>
 
     /** The file is wrong in each of [findings], sorted. */
@@ -32,3 +33,7 @@
         val findings: List<Finding>,
     ) : Checked<Nothing>
 }
+
+/** This file, or its [findings] if there are any. */
+internal fun <T> Checked.Valid<T>.unless(findings: List<Finding>): Checked<T> =
+    if (findings.isEmpty()) this else Checked.Invalid(findings.sorted())
--- a/model/src/main/kotlin/sycamore/model/FleetFile.kt
+++ b/model/src/main/kotlin/sycamore/model/FleetFile.kt
@@ -16,7 +16,11 @@
     fun read(
         name: String,
         text: String,
-    ): Checked<Fleet> = TomlFile.read(name, text, ::fleet)
+    ): Checked<Fleet> =
+        when (val read = TomlFile.read(name, text, ::fleet)) {
+            is Checked.Invalid -> read
+            is Checked.Valid -> read.unless(FleetCheck.check(read.value, read.source))
+        }
 
     private fun fleet(reader: TomlReader): Fleet =
         Fleet(
--- a/model/src/main/kotlin/sycamore/model/Service.kt
+++ b/model/src/main/kotlin/sycamore/model/Service.kt
@@ -5,6 +5,7 @@
 import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 
 /** What the upstreams of a service are. */
 @Serializable
@@ -66,7 +67,27 @@
     val waste: Double = 1.0,
 )
 
-/** One service as its file describes it. */
+/**
+ * What one account may ask of one service, below what the account may ask of all together.
+ *
+ * @property rate calls per second, on average; null sets no limit of its own.
+ * @property concurrency calls in progress at once; null sets no limit of its own.
+ * @property tokensPerMinute prompt and answer tokens; null sets no limit.
+ */
+@Serializable
+data class AccountLimit(
+    val caller: CallerName,
+    val rate: Double? = null,
+    val concurrency: Int? = null,
+    val tokensPerMinute: Long? = null,
+)
+
+/**
+ * One service as its file describes it.
+ *
+ * @property models what the service promises to offer; each needs an upstream that may load it.
+ * @property deadline of a call that no contract covers.
+ */
 @Serializable
 data class Service(
     val name: ServiceName,
@@ -76,12 +97,22 @@
     val budget: Budget = Budget(),
     val weights: Weights = Weights(),
     val idleLimit: Duration = DEFAULT_IDLE_LIMIT,
+    val models: List<ModelName> = emptyList(),
+    val deadline: Duration = Contract.DEFAULT_DEADLINE,
+    val limits: List<AccountLimit> = emptyList(),
 ) {
     /** The contract of [method] on [path]. */
     fun contract(
         method: String,
         path: String,
-    ): Contract = contracts.firstOrNull { it.covers(method, path) } ?: Contract.unknown(method, path)
+    ): Contract =
+        contracts.firstOrNull { it.covers(method, path) } ?: Contract.unknown(method, path).copy(deadline = deadline)
+
+    /** The limit of [caller] on this service, or null. */
+    fun limit(caller: CallerName): AccountLimit? = limits.firstOrNull { it.caller == caller }
+
+    /** How many calls all upstreams together may work on at once. */
+    val capacity: Int get() = upstreams.sumOf { it.capacity }
 
     companion object {
         /** How long a program may be idle before it ends, for a service that names no limit. */
@@ -117,7 +148,26 @@
     }
 }
 
-/** All that one publish puts in force. */
+/**
+ * One publish in the line of publishes that led to a configuration.
+ *
+ * @property by the operator who published.
+ * @property replaced the parts that it changed, with the digest that each had before; null for a new part.
+ */
+@Serializable
+data class PublishMark(
+    val generation: Generation,
+    val publishId: String,
+    val by: String,
+    val at: Instant,
+    val replaced: Map<String, Digest?>,
+)
+
+/**
+ * All that one publish puts in force.
+ *
+ * @property publishes the last publishes, this one included, oldest first; daemons do not keep them.
+ */
 @Serializable
 data class Configuration(
     val generation: Generation,
@@ -126,6 +176,7 @@
     val links: List<Link>,
     val callers: List<Caller>,
     val services: List<Service>,
+    val publishes: List<PublishMark> = emptyList(),
 ) {
     /** The service called [name], or null. */
     fun service(name: ServiceName): Service? = services.firstOrNull { it.name == name }
--- a/model/src/main/kotlin/sycamore/model/ServiceFile.kt
+++ b/model/src/main/kotlin/sycamore/model/ServiceFile.kt
@@ -1,6 +1,6 @@
 package sycamore.model
 
-/** Reads the files that operators write: one per service, and one for the fleet. */
+/** Reads the file of a service. What its values have to be together is up to [ServiceCheck]. */
 object ServiceFile {
     private val kinds = mapOf("model" to ServiceKind.MODEL, "service" to ServiceKind.SERVICE)
 
@@ -8,7 +8,11 @@
     fun read(
         name: String,
         text: String,
-    ): Checked<Service> = TomlFile.read(name, text, ::service)
+    ): Checked<Service> =
+        when (val read = TomlFile.read(name, text, ::service)) {
+            is Checked.Invalid -> read
+            is Checked.Valid -> read.unless(ServiceCheck.check(read.value, read.source))
+        }
 
     private fun service(reader: TomlReader): Service =
         Service(
@@ -19,6 +23,25 @@
             budget = budget(reader.table("budget")),
             weights = weights(reader.table("weights")),
             idleLimit = reader.duration("idle_limit", Service.DEFAULT_IDLE_LIMIT),
+            models = reader.strings("models").map(::ModelName),
+            deadline = reader.duration("deadline", Contract.DEFAULT_DEADLINE),
+            limits = reader.tables("limits").map(::limit),
+        )
+
+    private fun limit(reader: TomlReader): AccountLimit =
+        AccountLimit(
+            caller = CallerName(reader.name("caller")),
+            rate = if (reader.has("rate")) reader.double("rate") else null,
+            concurrency =
+                if (reader.has(
+                        "concurrency",
+                    )
+                ) {
+                    reader.long("concurrency", range = 1L..MAX_CAPACITY).toInt()
+                } else {
+                    null
+                },
+            tokensPerMinute = if (reader.has("tokens_per_minute")) reader.long("tokens_per_minute") else null,
         )
 
     private fun upstream(reader: TomlReader): Upstream =
@@ -43,8 +66,8 @@
     private fun budget(reader: TomlReader): Budget {
         val standard = Budget()
         return Budget(
-            tokens = reader.long("tokens", standard.tokens),
-            calls = reader.long("calls", standard.calls),
+            tokens = reader.long("tokens", standard.tokens, 1..Long.MAX_VALUE),
+            calls = reader.long("calls", standard.calls, 1..Long.MAX_VALUE),
             elapsed = reader.duration("elapsed", standard.elapsed),
         )
     }
--- a/model/src/main/kotlin/sycamore/model/TomlFile.kt
+++ b/model/src/main/kotlin/sycamore/model/TomlFile.kt
@@ -2,6 +2,7 @@
 
 import org.tomlj.Toml
 import org.tomlj.TomlArray
+import org.tomlj.TomlParseResult
 import org.tomlj.TomlPosition
 import org.tomlj.TomlTable
 import java.util.TreeSet
@@ -16,6 +17,15 @@
     private val name: String,
 ) {
     private val findings = TreeSet<Finding>()
+    private val places = HashMap<String, FilePosition>()
+
+    /** Remembers that the value at [path] stands at [position]. */
+    internal fun remember(
+        path: String,
+        position: TomlPosition?,
+    ) {
+        if (position != null) places[path] = FilePosition(position.line(), position.column())
+    }
 
     /** Reports a finding at [position]. */
     internal fun report(
@@ -26,7 +36,22 @@
         findings += Finding(name, position?.line() ?: 1, position?.column() ?: 1, found, expected)
     }
 
+    private fun parse(text: String): TomlParseResult? {
+        if (text.length > MAX_CHARACTERS) {
+            report(null, "${text.length} characters", "at most $MAX_CHARACTERS")
+            return null
+        }
+        return try {
+            Toml.parse(text)
+        } catch (_: StackOverflowError) {
+            report(null, "values nested too deeply to parse", "at most a few levels")
+            null
+        }
+    }
+
     companion object {
+        private const val MAX_CHARACTERS = 4_000_000
+
         /** Parses [text] of the file called [name] and lets [read] take the values out. */
         fun <T> read(
             name: String,
@@ -34,13 +59,14 @@
             read: (TomlReader) -> T,
         ): Checked<T> {
             val file = TomlFile(name)
-            val result = Toml.parse(text)
+            val result = file.parse(text) ?: return Checked.Invalid(file.findings.toList())
             result.errors().forEach { file.report(it.position(), "a syntax error", it.message ?: "valid TOML") }
             if (result.hasErrors()) return Checked.Invalid(file.findings.toList())
             val reader = TomlReader(file, result, path = "", position = null)
             val value = read(reader)
             reader.finish()
-            return if (file.findings.isEmpty()) Checked.Valid(value) else Checked.Invalid(file.findings.toList())
+            if (file.findings.isNotEmpty()) return Checked.Invalid(file.findings.toList())
+            return Checked.Valid(value, Source(name, file.places))
         }
     }
 }
@@ -72,8 +98,8 @@
         key: String,
         default: String? = null,
     ): String =
-        value(key, "a name of letters, digits, '-' and '_'", default, "") {
-            (it as? String)?.takeIf(names::matches)
+        value(key, "a name of 1 to $MAX_NAME letters, digits, '-' and '_'", default, "") {
+            (it as? String)?.takeIf { text -> text.length <= MAX_NAME && names.matches(text) }
         }
 
     /** The whole number at [key], within [range]. */
@@ -82,14 +108,8 @@
         default: Long? = null,
         range: LongRange = 0..Long.MAX_VALUE,
     ): Long {
-        val bounds =
-            if (range.last ==
-                Long.MAX_VALUE
-            ) {
-                "of at least ${range.first}"
-            } else {
-                "from ${range.first} to ${range.last}"
-            }
+        val isOpen = range.last == Long.MAX_VALUE
+        val bounds = if (isOpen) "of at least ${range.first}" else "from ${range.first} to ${range.last}"
         return value(key, "a whole number $bounds", default, range.first) { (it as? Long)?.takeIf(range::contains) }
     }
 
@@ -99,7 +119,7 @@
         default: Double? = null,
     ): Double =
         value(key, "a number of at least 0", default, 0.0) { found ->
-            (found as? Number)?.toDouble()?.takeIf { it >= 0.0 }
+            (found as? Number)?.toDouble()?.takeIf { it.isFinite() && it >= 0.0 }
         }
 
     /** Whether [key] is true. */
@@ -127,7 +147,7 @@
         default: Address? = null,
     ): Address =
         value(key, "an address such as \"10.0.0.7:7400\"", default, Address("", 0)) {
-            (it as? String)?.let(Address::parse)
+            (it as? String)?.let(Address::parse)?.takeIf { address -> ips.matches(address.ip) }
         }
 
     /** One of the texts in [choices] at [key], as the value that it stands for. */
@@ -150,6 +170,7 @@
     /** The table at [key], or an empty one when it is not there. */
     fun table(key: String): TomlReader {
         known += key
+        file.remember(at(key), positionOf(key))
         val found = table.get(listOf(key))
         if (found != null && found !is TomlTable) report(key, describe(found), "a table [${at(key)}]")
         val child = found as? TomlTable ?: Toml.parse("")
@@ -162,6 +183,7 @@
         return (0 until array.size()).mapNotNull { i ->
             val item = array.get(i) as? TomlTable
             if (item == null) file.report(array.inputPositionOf(i), describe(array.get(i)), "a table [[${at(key)}]]")
+            file.remember("${at(key)}[$i]", array.inputPositionOf(i))
             item?.let { TomlReader(file, it, "${at(key)}[$i]", array.inputPositionOf(i)) }?.also { children += it }
         }
     }
@@ -194,6 +216,7 @@
         convert: (Any?) -> T?,
     ): T {
         known += key
+        file.remember(at(key), positionOf(key))
         val found = table.get(listOf(key))
         if (found == null) {
             if (default == null) report(key, "no '${at(key)}'", expected)
@@ -209,6 +232,7 @@
         expected: String,
     ): TomlArray? {
         known += key
+        file.remember(at(key), positionOf(key))
         val found = table.get(listOf(key)) ?: return null
         if (found !is TomlArray) report(key, describe(found), expected)
         return found as? TomlArray
@@ -220,14 +244,17 @@
 
     private fun describe(found: Any?): String =
         when (found) {
-            is String -> "\"$found\""
+            is String -> "\"${found.take(MAX_SHOWN)}\""
             is TomlTable -> "a table"
             is TomlArray -> "an array"
             else -> "$found"
         }
 
     private companion object {
+        const val MAX_NAME = 64
+        const val MAX_SHOWN = 80
         val names = Regex("[A-Za-z0-9_-]+")
+        val ips = Regex("""((25[0-5]|2[0-4]\d|1?\d?\d)(\.(?=\d)|$)){4}""")
 
         /** The Levenshtein distance of two texts. */
         fun distance(
--- a/model/src/main/kotlin/sycamore/model/Units.kt
+++ b/model/src/main/kotlin/sycamore/model/Units.kt
@@ -9,7 +9,12 @@
 
 /** Durations and sizes as settings write them. */
 object Units {
-    private val amount = Regex("""(\d+(?:\.\d+)?)\s*([A-Za-z]+)""")
+    private val amount = Regex("""(\d{1,15}(?:\.\d{1,9})?)\s*([A-Za-z]+)""")
+
+    private val LONGEST = 3650.days
+
+    /** Bytes. */
+    private const val LARGEST = 1L shl 60
 
     private val durations =
         mapOf("ms" to 1.milliseconds, "s" to 1.seconds, "m" to 1.minutes, "h" to 1.hours, "d" to 1.days)
@@ -19,13 +24,13 @@
     /** Parses texts such as `250ms`, `30s`, `5m`, `2h` and `1d`, or returns null. */
     fun duration(text: String): Duration? {
         val (number, unit) = split(text) ?: return null
-        return durations[unit]?.times(number)
+        return durations[unit]?.times(number)?.takeIf { it <= LONGEST }
     }
 
     /** Parses texts such as `512B`, `64KiB`, `4MiB` and `2GiB` into bytes, or returns null. */
     fun size(text: String): Long? {
         val (number, unit) = split(text) ?: return null
-        return sizes[unit]?.let { (it * number).toLong() }
+        return sizes[unit]?.let { (it * number).toLong() }?.takeIf { it <= LARGEST }
     }
 
     private fun split(text: String): Pair<Double, String>? {
