--- a/bench/src/main/kotlin/sycamore/bench/Main.kt
+++ b/bench/src/main/kotlin/sycamore/bench/Main.kt
@@ -1,7 +1,21 @@
+@file:OptIn(ExperimentalCli::class)
+
 package sycamore.bench
 
 import kotlinx.cli.ArgParser
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import sycamore.bench.history.HistoryCommand
+import sycamore.bench.load.LoadCommand
 import sycamore.daemon.Program
+import kotlin.system.exitProcess
+
+private val commands: Array<Subcommand>
+    get() =
+        arrayOf(
+            HistoryCommand(),
+            LoadCommand(),
+        )
 
 /** Load, policy, history and slope runs. */
 fun main(args: Array<String>) {
@@ -9,5 +23,8 @@
         println("sycamore-bench ${Program.VERSION}")
         return
     }
-    ArgParser("sycamore-bench").parse(args)
+    val parser = ArgParser("sycamore-bench")
+    parser.subcommands(*commands)
+    parser.parse(args)
+    exitProcess(0)
 }
--- a/daemon/src/main/kotlin/sycamore/daemon/audit/AuditTrail.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/audit/AuditTrail.kt
@@ -51,7 +51,8 @@
         changes: List<AuditChange> = emptyList(),
     ): AuditRecord =
         lock.withLock {
-            val record = AuditRecord(Uuid.random().toHexString(), nextTime(), by, action, subject, generation, changes)
+            val id = Uuid.random().toHexString()
+            val record = AuditRecord(id, nextTime(), by, action, subject, generation, shorten(changes))
             add(record)
             record
         }
@@ -82,6 +83,12 @@
     /** Later records have later times, so that they sort in the order they were made. */
     private fun nextTime() = maxOf(clock.now(), lastAt + STEP).also { lastAt = it }
 
+    private fun shorten(changes: List<AuditChange>): List<AuditChange> {
+        if (changes.size <= MAX_CHANGES) return changes
+        val left = "${changes.size - MAX_CHANGES} more"
+        return changes.take(MAX_CHANGES) + AuditChange("further changes", null, left)
+    }
+
     private fun add(record: AuditRecord) {
         if (!ids.add(record.id)) return
         if (waiting.size >= MAX_WAITING) drop()
@@ -119,6 +126,9 @@
         /** Records that may wait in memory. */
         const val MAX_WAITING = 10_000
 
+        /** Changed values that one record names. */
+        const val MAX_CHANGES = 2_000
+
         val STEP = 1.milliseconds
     }
 }
