End programs in the history run

Cause: callers of the run left their programs to the idle limit. Change: agents end their programs by any entry, and the run's idle limit is 60 s.

--- a/bench/src/main/kotlin/sycamore/bench/history/Agent.kt
+++ b/bench/src/main/kotlin/sycamore/bench/history/Agent.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.JsonArray
@@ -10,8 +11,11 @@
 import kotlinx.serialization.json.buildJsonObject
 import sycamore.links.Begun
 import sycamore.links.Call
+import sycamore.links.Done
+import sycamore.links.EndProgram
 import sycamore.links.Message
 import sycamore.links.Part
+import sycamore.links.ProgramView
 import sycamore.links.Refused
 import sycamore.links.Whole
 import sycamore.model.CallId
@@ -178,10 +182,17 @@
         call: Call,
     ): Channel<Message> {
         val daemon = fleet.process(entry)
+        return collect(daemon) { daemon.entry!!.call(fleet.service(call.service), call) }
+    }
+
+    private fun collect(
+        daemon: RunningDaemon,
+        flow: () -> Flow<Message>,
+    ): Channel<Message> {
         val replies = Channel<Message>(Channel.UNLIMITED)
         daemon.scope.launch {
             try {
-                daemon.entry!!.call(fleet.service(call.service), call).collect { replies.send(it) }
+                flow().collect { replies.send(it) }
                 replies.close()
             } catch (e: Exception) {
                 replies.close(e)
@@ -219,7 +230,26 @@
         return Result.Broke
     }
 
+    /** Ends the program, by another entry if need be; the idle limit ends it if none can. */
     private suspend fun end() {
+        val program = id ?: return
+        for (attempt in 1..MAX_ATTEMPTS) {
+            val entry = entry()
+            if (entry != null && endBy(entry, program)) return
+            delay(NO_ENTRY_PAUSE)
+        }
+    }
+
+    private suspend fun endBy(
+        entry: HostName,
+        program: ProgramId,
+    ): Boolean {
+        val daemon = fleet.process(entry)
+        val replies = collect(daemon) { daemon.entry!!.ask(program, EndProgram(program, Fleet.caller)) }
+        return when (withTimeoutOrNull(PATIENCE) { replies.receiveCatching() }?.getOrNull()) {
+            is Done, is ProgramView -> true
+            else -> false
+        }
     }
 
     private companion object {
--- a/bench/src/main/kotlin/sycamore/bench/history/Fleet.kt
+++ b/bench/src/main/kotlin/sycamore/bench/history/Fleet.kt
@@ -39,7 +39,6 @@
 import sycamore.platform.keyValueClient
 import kotlin.time.Clock
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
@@ -230,7 +229,7 @@
                         ServiceKind.MODEL,
                         models.map { upstream(it) },
                         budget = BUDGET,
-                        idleLimit = 1.hours,
+                        idleLimit = IDLE_LIMIT,
                     ),
                     Service(shop, ServiceKind.SERVICE, orders.map { upstream(it) }, CONTRACTS, BUDGET),
                 ),
@@ -256,6 +255,7 @@
         private const val MEMORY = 64L shl 20
         private val SAME_REGION = 1.milliseconds
         private val OTHER_REGION = 12.milliseconds
+        private val IDLE_LIMIT = 60.seconds
         private val STOP_GRACE = 3.seconds
         private val CONTRACTS =
             listOf(
