Hold accounts and connections to their limits, and serve callers over TLS

Accounts: rates and requests in progress by account, split over the entries; digests of right keys are remembered for one configuration. Settings: [limits] for body, headers, connections, requests and idle time, [tls] for certificate and key as PEM, taken over again when the files change and only when they belong together.

--- a/daemon/src/main/kotlin/sycamore/daemon/DaemonSettings.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/DaemonSettings.kt
@@ -14,6 +14,8 @@
  * @property http where HTTP is served: to callers by an entry, to operators by a host.
  * @property keyValue the platform's key-value service.
  * @property hostList the platform's list of hosts.
+ * @property limits upper bounds of what [http] accepts.
+ * @property tls the certificate that [http] shows; null serves without TLS.
  */
 data class DaemonSettings(
     val name: HostName,
@@ -22,15 +24,18 @@
     val http: Address,
     val keyValue: Address,
     val hostList: Address,
+    val limits: HttpLimits = HttpLimits(),
+    val tls: TlsSettings? = null,
 ) {
     companion object {
         /** Reads [text] of the settings file called [file]. */
         fun read(
             file: String,
             text: String,
-        ): Checked<DaemonSettings> = TomlFile.read(file, text, ::settings)
+        ): Checked<DaemonSettings> = TomlFile.read(file, text, ::from)
 
-        private fun settings(reader: TomlReader): DaemonSettings =
+        /** Reads the settings that all daemons share. */
+        fun from(reader: TomlReader): DaemonSettings =
             DaemonSettings(
                 name = HostName(reader.name("name")),
                 place = PlaceName(reader.name("place")),
@@ -38,6 +43,8 @@
                 http = reader.address("http"),
                 keyValue = reader.address("key_value"),
                 hostList = reader.address("host_list"),
+                limits = HttpLimits.from(reader.table("limits")),
+                tls = if (reader.has("tls")) TlsSettings.from(reader.table("tls")) else null,
             )
     }
 }
--- a/daemon/src/main/kotlin/sycamore/daemon/JettyHandler.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/JettyHandler.kt
@@ -49,10 +49,12 @@
         answer: Response,
         response: JettyResponse,
     ) {
-        response.status = answer.status.code
-        answer.headers.forEach { (name, value) -> response.headers.add(name, value.orEmpty()) }
-        val output = Content.Sink.asOutputStream(response)
-        answer.body.stream.use { it.copyTo(output) }
-        output.close()
+        answer.body.stream.use { body ->
+            response.status = answer.status.code
+            answer.headers.forEach { (name, value) -> response.headers.add(name, value.orEmpty()) }
+            val output = Content.Sink.asOutputStream(response)
+            body.copyTo(output)
+            output.close()
+        }
     }
 }
--- /dev/null
+++ b/daemon/src/test/kotlin/sycamore/daemon/TestCertificate.kt
@@ -0,0 +1,49 @@
+package sycamore.daemon
+
+import org.bouncycastle.asn1.x500.X500Name
+import org.bouncycastle.cert.jcajce.JcaX509v3CertificateBuilder
+import org.bouncycastle.operator.jcajce.JcaContentSignerBuilder
+import java.io.File
+import java.math.BigInteger
+import java.security.KeyPairGenerator
+import java.util.Base64
+import java.util.Date
+
+/** A certificate signed by itself, and its key, as PEM text. */
+internal class TestCertificate(
+    serial: Long,
+    algorithm: String = "EC",
+) {
+    private val pair = KeyPairGenerator.getInstance(algorithm).generateKeyPair()
+    private val signature = if (algorithm == "EC") "SHA256withECDSA" else "SHA256withRSA"
+
+    /** The certificate. */
+    val certificate: String = pem("CERTIFICATE", certificate(serial))
+
+    /** The private key as PKCS #8. */
+    val key: String = pem("PRIVATE KEY", pair.private.encoded)
+
+    private fun certificate(serial: Long): ByteArray {
+        val name = X500Name("CN=entry")
+        val builder =
+            JcaX509v3CertificateBuilder(name, BigInteger.valueOf(serial), Date(0), Date(LATE), name, pair.public)
+        return builder.build(JcaContentSignerBuilder(signature).build(pair.private)).encoded
+    }
+
+    private fun pem(
+        type: String,
+        bytes: ByteArray,
+    ) = "-----BEGIN $type-----\n${Base64.getMimeEncoder().encodeToString(bytes)}\n-----END $type-----\n"
+
+    /** Writes both into [directory] and returns the settings that name them. */
+    fun write(directory: File): TlsSettings {
+        val settings = TlsSettings(File(directory, "server.pem"), File(directory, "server.key"))
+        settings.certificate.writeText(certificate)
+        settings.key.writeText(key)
+        return settings
+    }
+
+    private companion object {
+        const val LATE = 4_102_444_800_000
+    }
+}
--- a/entry/src/main/kotlin/sycamore/entry/EntryHttp.kt
+++ b/entry/src/main/kotlin/sycamore/entry/EntryHttp.kt
@@ -9,9 +9,12 @@
 import org.http4k.routing.bind
 import org.http4k.routing.routes
 import sycamore.daemon.InForce
+import sycamore.model.Caller
 import sycamore.programs.Outcome
 import sycamore.programs.Refusal
 import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 private val log = KotlinLogging.logger {}
 
@@ -22,8 +25,11 @@
 internal class EntryHttp(
     private val inForce: InForce,
     daemon: EntryDaemon,
+    private val limits: AccountLimits,
+    private val bodyBytes: Long,
     clock: Clock = Clock.System,
 ) {
+    private val accounts = Accounts()
     private val calls = CallHttp(daemon)
     private val chat = ChatHttp(calls, clock)
     private val services = ServiceHttp(calls)
@@ -65,10 +71,47 @@
         val configuration =
             inForce.configuration.value
                 ?: return Problem.notRun(HttpStatus.UNAVAILABLE, "no configuration is in force yet")
-        val caller = Accounts.of(request, configuration) ?: return unauthorized()
-        return handler(CallerRequest(request, caller, configuration, BODY_BYTES))
+        val caller = accounts.of(request, configuration) ?: return unauthorized()
+        return admitted(caller) { handler(CallerRequest(request, caller, configuration, bodyBytes.toInt())) }
     }
 
+    private fun admitted(
+        caller: Caller,
+        run: () -> Response,
+    ): Response =
+        when (val admission = limits.admit(caller)) {
+            is Admission.Admitted -> held(admission, run)
+            is Admission.TooFast ->
+                tooMany(
+                    "found more than ${admission.perSecond} requests a second of account ${caller.name}",
+                    admission.wait,
+                )
+            is Admission.TooMany ->
+                tooMany("found ${admission.limit} requests of account ${caller.name} in progress", FINISH_WAIT)
+            is Admission.Closed ->
+                Problem.notRun(HttpStatus.FORBIDDEN, "account ${caller.name} is closed: its rate is 0")
+        }
+
+    /** Runs [run] and holds [admission] until its response is written. */
+    private fun held(
+        admission: Admission.Admitted,
+        run: () -> Response,
+    ): Response {
+        var isHandedOn = false
+        try {
+            val response = run()
+            isHandedOn = true
+            return response.body(ClosingStream(response.body.stream, admission::close), response.body.length)
+        } finally {
+            if (!isHandedOn) admission.close()
+        }
+    }
+
+    private fun tooMany(
+        detail: String,
+        wait: Duration,
+    ) = Problem.response(Refusal(Outcome.NOT_RUN, HttpStatus.TOO_MANY_REQUESTS, detail, wait))
+
     private fun unauthorized(): Response =
         Problem
             .notRun(
@@ -94,6 +137,6 @@
         )
 
     private companion object {
-        const val BODY_BYTES = 4 * 1024 * 1024
+        val FINISH_WAIT = 1.seconds
     }
 }
--- a/entry/src/main/kotlin/sycamore/entry/HttpStatus.kt
+++ b/entry/src/main/kotlin/sycamore/entry/HttpStatus.kt
@@ -4,6 +4,7 @@
 internal object HttpStatus {
     const val BAD_REQUEST = 400
     const val UNAUTHORIZED = 401
+    const val FORBIDDEN = 403
     const val NOT_FOUND = 404
     const val METHOD_NOT_ALLOWED = 405
     const val TOO_LARGE = 413
--- a/entry/src/main/kotlin/sycamore/entry/Main.kt
+++ b/entry/src/main/kotlin/sycamore/entry/Main.kt
@@ -2,16 +2,17 @@
 
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.flow.filterNotNull
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import org.http4k.routing.routes
 import sycamore.daemon.AdminHttp
-import sycamore.daemon.DaemonSettings
 import sycamore.daemon.Http
 import sycamore.daemon.InForce
 import sycamore.daemon.Members
 import sycamore.daemon.Program
 import sycamore.daemon.Threads
+import sycamore.daemon.Tls
 import sycamore.links.LinkClient
 import sycamore.links.LinkServer
 import sycamore.model.Host
@@ -21,7 +22,9 @@
 
 /** Runs an entry daemon. */
 fun main(args: Array<String>) {
-    val settings = Program.settings("sycamore-entry", args, DaemonSettings::read)
+    val entry = Program.settings("sycamore-entry", args, EntrySettings::read)
+    val settings = entry.daemon
+    val tls = settings.tls?.let { Tls.of(it) { finding -> Program.fail(Program.EXIT_FAILED, finding) } }
     runBlocking(Dispatchers.Default) {
         val http = Http.client()
         val inForce = InForce()
@@ -40,9 +43,21 @@
         launch { daemon.run() }
         launch { members.follow(HttpHostList.at(settings.hostList, http, Threads.blocking)) }
         LinkServer.listen(settings.name, settings.listen, daemon::serve)
-        val callers = EntryHttp(inForce, daemon)
+        launch { tls?.follow() }
+        val limits = AccountLimits(entry.entries)
+        launch {
+            inForce.configuration.filterNotNull().collect {
+                limits.retain(
+                    it.callers
+                        .map { c ->
+                            c.name
+                        }.toSet(),
+                )
+            }
+        }
+        val callers = EntryHttp(inForce, daemon, limits, settings.limits.bodyBytes)
         val admin = AdminHttp(inForce).handler
-        Http.serve(settings.http, routes(admin, callers.handler))
+        Http.serve(settings.http, routes(admin, callers.handler), settings.limits, tls, Problem::overLimit)
         CompletableDeferred<Unit>().await()
     }
 }
--- a/entry/src/main/kotlin/sycamore/entry/Problem.kt
+++ b/entry/src/main/kotlin/sycamore/entry/Problem.kt
@@ -7,6 +7,9 @@
 import org.http4k.core.Status
 import sycamore.programs.Outcome
 import sycamore.programs.Refusal
+import kotlin.math.ceil
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
 
 /** Refusals as `application/problem+json`, with the error object that chat clients expect beside it. */
 internal object Problem {
@@ -18,7 +21,10 @@
                 .header("sycamore-outcome", refusal.outcome.text)
                 .body(Json.encodeToString(body(refusal)))
         val wait = refusal.retryAfter ?: return response
-        return response.header("retry-after", wait.inWholeSeconds.coerceAtLeast(1).toString())
+        return response.header(
+            "retry-after",
+            ceil(wait.toDouble(DurationUnit.SECONDS)).toLong().coerceAtLeast(1).toString(),
+        )
     }
 
     /** The response to a request that did not run, for the reason in [detail]. */
@@ -27,6 +33,15 @@
         detail: String,
     ): Response = response(Refusal(Outcome.NOT_RUN, status, detail))
 
+    /** The response to a request beyond the server's limits. */
+    fun overLimit(
+        status: Int,
+        detail: String,
+    ): Response {
+        val wait = if (status == HttpStatus.UNAVAILABLE) 1.seconds else null
+        return response(Refusal(Outcome.NOT_RUN, status, detail, wait))
+    }
+
     /** The error that a stream of events ends with when it cannot be completed, as JSON. */
     fun event(refusal: Refusal): String = Json.encodeToString(body(refusal))
 
@@ -49,6 +64,7 @@
     private fun errorType(status: Int): String =
         when (status) {
             HttpStatus.UNAUTHORIZED -> "authentication_error"
+            HttpStatus.FORBIDDEN -> "permission_error"
             HttpStatus.TOO_MANY_REQUESTS -> "rate_limit_error"
             in CLIENT_ERRORS -> "invalid_request_error"
             else -> "server_error"
--- a/entry/src/test/kotlin/sycamore/entry/EntryFixture.kt
+++ b/entry/src/test/kotlin/sycamore/entry/EntryFixture.kt
@@ -56,7 +56,7 @@
         }
 
     /** The callers' interface. */
-    val http = EntryHttp(inForce, daemon, FixedClock).handler
+    val http = EntryHttp(inForce, daemon, AccountLimits(entries = 1), bodyBytes = 1_000, FixedClock).handler
 
     companion object {
         private val place = PlaceName("svea-a")
@@ -74,7 +74,15 @@
                 publishId = "p",
                 places = emptyList(),
                 links = emptyList(),
-                callers = listOf(Caller(CallerName("workshop"), "salt", Digest.of("saltkey".encodeToByteArray()))),
+                callers =
+                    listOf(
+                        Caller(
+                            CallerName("workshop"),
+                            "salt",
+                            Digest.of("saltkey".encodeToByteArray()),
+                            concurrency = 2,
+                        ),
+                    ),
                 services =
                     listOf(
                         Service(ServiceName("assist-llm"), ServiceKind.MODEL, listOf(upstream)),
--- a/entry/src/test/kotlin/sycamore/entry/EntryHttpTest.kt
+++ b/entry/src/test/kotlin/sycamore/entry/EntryHttpTest.kt
@@ -236,4 +236,22 @@
             "found method PUT, expected GET",
         )
     }
+
+    @Test
+    fun `a body beyond the limit is refused`() {
+        val detail = "found a body of more than 1000 bytes, expected at most that"
+        val request = request(Method.POST, "/v1/programs", "x".repeat(1001))
+        assertRefused(answering.http(request), 413, "not-run", detail)
+    }
+
+    @Test
+    fun `an account is held to its requests in progress until their answers are written`() {
+        val responses = List(2) { answering.http(chat()) }
+        val detail = "found 2 requests of account workshop in progress"
+        val refused = answering.http(chat())
+        assertRefused(refused, 429, "not-run", detail)
+        assertEquals("1", refused.header("retry-after"))
+        responses.first().bodyString()
+        assertEquals(200, answering.http(chat()).status.code)
+    }
 }
--- a/host/src/main/kotlin/sycamore/host/Main.kt
+++ b/host/src/main/kotlin/sycamore/host/Main.kt
@@ -11,6 +11,7 @@
 import sycamore.daemon.Members
 import sycamore.daemon.Program
 import sycamore.daemon.Threads
+import sycamore.daemon.Tls
 import sycamore.links.LinkClient
 import sycamore.links.LinkServer
 import sycamore.model.Host
@@ -21,6 +22,7 @@
 /** Runs the daemon beside an upstream. */
 fun main(args: Array<String>) {
     val settings = Program.settings("sycamore-host", args, DaemonSettings::read)
+    val tls = settings.tls?.let { Tls.of(it) { finding -> Program.fail(Program.EXIT_FAILED, finding) } }
     runBlocking(Dispatchers.Default) {
         val http = Http.client()
         val inForce = InForce()
@@ -41,7 +43,8 @@
         launch { daemon.run() }
         launch { members.follow(HttpHostList.at(settings.hostList, http, Threads.blocking)) }
         LinkServer.listen(settings.name, settings.listen, daemon::serve)
-        Http.serve(settings.http, AdminHttp(inForce).handler)
+        launch { tls?.follow() }
+        Http.serve(settings.http, AdminHttp(inForce).handler, settings.limits, tls)
         CompletableDeferred<Unit>().await()
     }
 }
