--- a/bench/src/main/kotlin/sycamore/bench/Main.kt
+++ b/bench/src/main/kotlin/sycamore/bench/Main.kt
@@ -4,6 +4,7 @@
 
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
+import sycamore.bench.history.HistoryCommand
 import sycamore.bench.load.LoadCommand
 import sycamore.daemon.Program
 import kotlin.system.exitProcess
@@ -15,7 +16,7 @@
         return
     }
     val parser = ArgParser("sycamore-bench")
-    parser.subcommands(LoadCommand())
+    parser.subcommands(HistoryCommand(), LoadCommand())
     parser.parse(args)
     exitProcess(0)
 }
