Check in the load run that each answer fits its program's history

Cause: the stand-in engine now tells how many messages it saw, and its answers vary with the prompt.

--- a/bench/src/main/kotlin/sycamore/bench/load/ChatClient.kt
+++ b/bench/src/main/kotlin/sycamore/bench/load/ChatClient.kt
@@ -19,12 +19,14 @@
  *
  * @property firstToken when the first content arrived, or null if none did.
  * @property program the program's id in the response, or null.
+ * @property text of the answer.
  * @property failure kind of the error, or null for a whole answer.
  */
 internal class CallResult(
     val firstToken: ValueTimeMark?,
     val ended: ValueTimeMark,
     val program: String?,
+    val text: String,
     val failure: String?,
 )
 
@@ -92,15 +94,20 @@
     }
 
     /** The call's result once Jetty has reported [result]. */
-    fun end(result: Result): CallResult =
-        CallResult(
+    fun end(result: Result): CallResult {
+        val ended = TimeSource.Monotonic.markNow()
+        val events = String(bytes, 0, size, Charsets.UTF_8)
+        return CallResult(
             firstToken,
-            TimeSource.Monotonic.markNow(),
+            ended,
             result.response?.headers?.get("sycamore-program"),
-            failure(result.failure, result.response),
+            textOf(events),
+            failure(events, result.failure, result.response),
         )
+    }
 
     private fun failure(
+        events: String,
         cause: Throwable?,
         response: Response?,
     ): String? =
@@ -108,7 +115,7 @@
             cause != null -> cause::class.simpleName ?: "failure"
             response == null -> "no response"
             response.status != OK -> refusal(response)
-            !isWhole() -> "answer cut short"
+            !isWhole(events) -> "answer cut short"
             else -> null
         }
 
@@ -117,10 +124,20 @@
         return "status ${response.status} ($outcome)"
     }
 
-    private fun isWhole(): Boolean {
-        val text = String(bytes, 0, size, Charsets.UTF_8)
-        return text.endsWith(END) && text.contains(FINISH) && text.contains(CONTENT)
-    }
+    private fun isWhole(events: String): Boolean = events.endsWith(END) && events.contains(FINISH)
+
+    /** The text of all content deltas; the stand-ins' answers hold no escaped characters. */
+    private fun textOf(events: String): String =
+        buildString {
+            var at = events.indexOf(CONTENT)
+            while (at >= 0) {
+                val from = at + CONTENT.length
+                val to = events.indexOf('"', from)
+                if (to < 0) return@buildString
+                append(events, from, to)
+                at = events.indexOf(CONTENT, to)
+            }
+        }
 
     private companion object {
         const val INITIAL_BYTES = 2048
--- a/bench/src/main/kotlin/sycamore/bench/load/LoadRun.kt
+++ b/bench/src/main/kotlin/sycamore/bench/load/LoadRun.kt
@@ -17,8 +17,8 @@
     private val clients = ChatClient(CONNECTIONS)
     private val sides =
         mapOf(
-            Side.DIRECT to Traffic(clients, layout.engines, shape),
-            Side.SYSTEM to Traffic(clients, layout.entries, shape),
+            Side.DIRECT to Traffic(clients, layout.engines, shape, keepsHistory = false),
+            Side.SYSTEM to Traffic(clients, layout.entries, shape, keepsHistory = true),
         )
 
     /** Runs all phases. */
--- a/bench/src/test/kotlin/sycamore/bench/load/StreamedAnswerTest.kt
+++ b/bench/src/test/kotlin/sycamore/bench/load/StreamedAnswerTest.kt
@@ -22,6 +22,7 @@
         assertNull(result.failure)
         assertNotNull(result.firstToken)
         assertEquals("svea-a.m0.abc.1", result.program)
+        assertEquals("word1 ", result.text)
     }
 
     @Test
