--- /dev/null
+++ b/host/src/main/kotlin/sycamore/host/GateQueue.kt
@@ -0,0 +1,244 @@
+package sycamore.host
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.withTimeoutOrNull
+import sycamore.decisions.Admission
+import sycamore.decisions.GateDecision
+import sycamore.decisions.Joining
+import sycamore.decisions.Overload
+import sycamore.decisions.QueueOrder
+import sycamore.decisions.ServedCall
+import sycamore.decisions.Speed
+import sycamore.decisions.UpstreamLimits
+import sycamore.decisions.UpstreamState
+import sycamore.decisions.WaitingCall
+import sycamore.model.CallId
+import sycamore.model.CallerName
+import sycamore.model.HostName
+import sycamore.model.PlaceName
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/**
+ * What a gate decides by.
+ *
+ * @property evict asks the upstream to drop a program's cache; it must not block.
+ * @property decided is told each decision, under the gate's lock.
+ */
+data class GateRules(
+    val limits: UpstreamLimits,
+    val order: QueueOrder = QueueOrder(),
+    val overload: Overload = Overload(),
+    val evict: (program: String) -> Unit = {},
+    val decided: (GateDecision) -> Unit = {},
+)
+
+/**
+ * The queue before one upstream: holds calls back until the upstream has room, and lets them go in the order that
+ * [GateRules] give. All state is under one lock; nothing is awaited under it.
+ */
+class GateQueue(
+    private val rules: GateRules,
+    time: TimeSource,
+) {
+    private class Waiter(
+        val call: GateCall,
+        var waiting: WaitingCall,
+    ) {
+        val granted = CompletableDeferred<Ticket>()
+    }
+
+    private val start = time.markNow()
+    private val lock = Any()
+    private val waiters = LinkedHashMap<CallId, Waiter>()
+    private val programs = GatePrograms(rules.limits.memoryTokens)
+    private val served = CallerShares()
+    private var queuedWork = Duration.ZERO
+    private var running = 0
+    private var speed = Speed.DEFAULT
+
+    private val now: Duration get() = start.elapsedNow()
+
+    /** Waits until [call] may go to the upstream, or until it is given up. */
+    suspend fun admit(call: GateCall): Turn {
+        val waiter =
+            synchronized(lock) {
+                val joining = join(call)
+                if (joining is Joining.Shed) return refused(call, joining)
+                enqueue(call).also { dispatch() }
+            }
+        var ticket: Ticket? = null
+        try {
+            ticket = withTimeoutOrNull(call.timeLeft) { waiter.granted.await() } ?: leave(waiter)
+        } finally {
+            if (ticket == null) leave(waiter)?.close(null)
+        }
+        return if (ticket != null) Turn.Granted(ticket) else refused(call, tooLate(call))
+    }
+
+    private fun join(call: GateCall): Joining =
+        rules.overload.decide(call.isNew, waiters.size, expectedWait(), call.timeLeft)
+
+    private fun enqueue(call: GateCall): Waiter {
+        val now = now
+        val isResident = programs.isResident(call)
+        val missing = (call.promptTokens - programs.residency.tokensOf(call.program)).coerceAtLeast(0)
+        val waiting =
+            WaitingCall(
+                id = call.id,
+                program = call.root,
+                caller = call.caller,
+                attained = programs.attained(call.root),
+                isResident = isResident,
+                since = now,
+                deadline = now + call.timeLeft,
+                isNew = call.isNew,
+                tokens = call.tokens,
+                work = speed.work(missing, call.outputTokens, rules.limits.capacity),
+            )
+        queuedWork += waiting.work
+        return Waiter(call, waiting).also { waiters[call.id] = it }
+    }
+
+    /** Takes [waiter] out of the queue; returns its ticket when it was granted one in the meantime. */
+    private fun leave(waiter: Waiter): Ticket? =
+        synchronized(lock) {
+            if (waiters.remove(waiter.call.id, waiter)) queuedWork -= waiter.waiting.work
+            if (waiter.granted.isCompleted) waiter.granted.getCompleted() else null
+        }
+
+    private fun dispatch() {
+        while (true) {
+            val next = rules.order.next(waiters.values.map { it.waiting }, served.recent(now), now) ?: return
+            if (rules.limits.admit(next, running, programs.runningTokens) is Admission.Hold) return
+            send(waiters.remove(next.id)!!)
+        }
+    }
+
+    private fun send(waiter: Waiter) {
+        val call = waiter.call
+        val now = now
+        queuedWork -= waiter.waiting.work
+        programs.makeRoomFor(call, now).forEach { evict(it.program, it.tokens, "memory is needed") }
+        programs.begin(call, now)
+        running++
+        val waiting = waiter.waiting
+        val level = rules.order.level(waiting.attained)
+        rules.decided(
+            GateDecision.Sent(call.program, call.id, now - waiting.since, level, waiting.isResident, running),
+        )
+        waiter.granted.complete(Ticket { served, tool -> finish(call, served, tool) })
+    }
+
+    private fun finish(
+        call: GateCall,
+        result: ServedCall?,
+        tool: String?,
+    ) = synchronized(lock) {
+        running--
+        val work =
+            result?.let { speed.work(it.computedTokens, it.outputTokens, rules.limits.capacity) } ?: Duration.ZERO
+        programs.finish(call, work, tool, now)
+        served.add(call.caller, work, now)
+        if (result != null) {
+            speed = speed.observed(result)
+            programs.cached(call.program, call.promptTokens + result.outputTokens)
+        }
+        dispatch()
+    }
+
+    /** Gives up all that is kept for [program], which has ended. */
+    fun end(program: String) =
+        synchronized(lock) {
+            val tokens = programs.end(program)
+            if (tokens > 0) evict(program, tokens, "the program ended")
+            programs.residency = programs.residency.evicted(program)
+        }
+
+    private fun evict(
+        program: String,
+        tokens: Long,
+        reason: String,
+    ) {
+        rules.decided(GateDecision.Evicted(program, tokens, reason))
+        rules.evict(program)
+    }
+
+    /** Takes over what is known of the cache by [change]. */
+    fun updateResidency(change: (sycamore.decisions.Residency) -> sycamore.decisions.Residency) =
+        synchronized(lock) { programs.residency = change(programs.residency) }
+
+    /** Tokens of [program] in the upstream's cache, as far as is known. */
+    fun residentTokens(program: String): Long = synchronized(lock) { programs.residency.tokensOf(program) }
+
+    /** The upstream as placement sees it. */
+    fun state(
+        host: HostName,
+        place: PlaceName,
+    ): UpstreamState =
+        synchronized(lock) {
+            UpstreamState(
+                host = host,
+                place = place,
+                capacity = rules.limits.capacity,
+                running = running,
+                queued = waiters.size,
+                wait = expectedWait(),
+                tokenTime = speed.tokenTime,
+                prefillPerToken = speed.prefillPerToken,
+                memoryTokens = rules.limits.memoryTokens,
+                committedTokens = programs.committedTokens,
+            )
+        }
+
+    private fun expectedWait(): Duration {
+        if (running < rules.limits.capacity && waiters.isEmpty()) return Duration.ZERO
+        return queuedWork + speed.callTime / rules.limits.capacity
+    }
+
+    private fun refused(
+        call: GateCall,
+        shed: Joining.Shed,
+    ): Turn {
+        rules.decided(GateDecision.Refused(call.program, call.id, shed.reason))
+        return Turn.Refused(shed)
+    }
+
+    private fun tooLate(call: GateCall) =
+        Joining.Shed("expected room within ${call.timeLeft}, found none", RETRY_AFTER_DEADLINE)
+
+    private companion object {
+        val RETRY_AFTER_DEADLINE = 5.seconds
+    }
+}
+
+/** Recent service of each caller, which loses half its weight every [HALF_LIFE]. */
+internal class CallerShares {
+    private var shares = HashMap<CallerName, Duration>()
+    private var halvedAt = Duration.ZERO
+
+    /** The shares at [now]. */
+    fun recent(now: Duration): Map<CallerName, Duration> {
+        if (now - halvedAt >= HALF_LIFE) {
+            shares.replaceAll { _, share -> share / 2 }
+            shares.values.removeIf { it < FORGOTTEN }
+            halvedAt = now
+        }
+        return shares
+    }
+
+    fun add(
+        caller: CallerName,
+        work: Duration,
+        now: Duration,
+    ) {
+        recent(now)
+        shares.merge(caller, work, Duration::plus)
+    }
+
+    private companion object {
+        val HALF_LIFE = 30.seconds
+        val FORGOTTEN = 0.001.seconds
+    }
+}
