Admit cold calls only beside programs that are expected back; add the policy bench

sycamore-bench policy runs the gate's queue and the placement against the engine model in virtual time, with least-loaded and sticky baselines on the same arrivals.

Cause: least attained service alone interleaves more programs than the cache holds, and they evict each other. Change: a call whose prompt is not cached waits until it fits beside the programs that are expected back soon.

--- a/bench/src/main/kotlin/sycamore/bench/Main.kt
+++ b/bench/src/main/kotlin/sycamore/bench/Main.kt
@@ -5,6 +5,7 @@
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
 import sycamore.bench.history.HistoryCommand
+import sycamore.bench.policy.PolicyCommand
 import sycamore.daemon.Program
 
 /** Load, policy, history and slope runs. */
@@ -14,6 +15,6 @@
         return
     }
     val parser = ArgParser("sycamore-bench")
-    parser.subcommands(HistoryCommand())
+    parser.subcommands(HistoryCommand(), PolicyCommand())
     parser.parse(args)
 }
--- a/decisions/src/main/kotlin/sycamore/decisions/Placement.kt
+++ b/decisions/src/main/kotlin/sycamore/decisions/Placement.kt
@@ -34,6 +34,9 @@
 ) {
     /** Tokens that the call needs in memory. */
     val tokens: Long get() = historyTokens + newTokens + outputTokens
+
+    /** Whether the cache at [host] holds most of the history. */
+    fun isResidentAt(host: HostName): Boolean = (resident[host] ?: 0) * 2 >= historyTokens
 }
 
 /**
--- a/decisions/src/main/kotlin/sycamore/decisions/Retention.kt
+++ b/decisions/src/main/kotlin/sycamore/decisions/Retention.kt
@@ -57,6 +57,32 @@
 
 /** Which idle caches give way to a call that needs memory. */
 object Retention {
+    /**
+     * How long a cache is kept for a program that is expected back. Keeping a token for a time occupies its share of the
+     * memory, and saves the time to compute it. The two are worth the same when all of the memory's tokens could be
+     * computed in that time. While the upstream has time to spare, computing costs less, and the limit is lower.
+     *
+     * @param waited how long a cold call has been waiting for memory; the limit falls to zero over [PATIENCE].
+     */
+    fun holdLimit(
+        prefillPerToken: Duration,
+        memoryTokens: Long,
+        running: Int,
+        capacity: Int,
+        waited: Duration,
+    ): Duration {
+        val use = (running / (capacity * FULL_SHARE)).coerceAtMost(1.0)
+        val patience = (1.0 - waited / PATIENCE).coerceAtLeast(0.0)
+        return prefillPerToken * (memoryTokens * use * patience)
+    }
+
+    /** Tokens of [paused] programs that are expected back within [limit]. */
+    fun heldTokens(
+        paused: Collection<PausedProgram>,
+        limit: Duration,
+        now: Duration,
+    ): Long = paused.sumOf { if (it.remaining(now) < limit) it.tokens else 0L }
+
     /**
      * The programs to evict at [now] so that [needed] tokens become free, longest expected return first. Keeping a token
      * saves the same prefill whatever program it belongs to, and costs memory for as long as the program stays away.
@@ -72,4 +98,10 @@
             .sortedByDescending { it.remaining(now) }
             .takeWhile { program -> (freed < needed).also { freed += program.tokens } }
     }
+
+    /** Share of its capacity at which an upstream has no time to spare. */
+    private const val FULL_SHARE = 0.25
+
+    /** How long a cold call waits for memory before it takes that of any paused program. */
+    val PATIENCE = 60.seconds
 }
--- a/host/src/main/kotlin/sycamore/host/GatePrograms.kt
+++ b/host/src/main/kotlin/sycamore/host/GatePrograms.kt
@@ -79,6 +79,12 @@
         return residency.tokensOf(program)
     }
 
+    /** Tokens of idle caches whose programs are expected back within [limit]. */
+    fun heldTokens(
+        limit: Duration,
+        now: Duration,
+    ): Long = Retention.heldTokens(paused(except = null), limit, now)
+
     /** Chooses idle caches that give way to [call] and forgets them. */
     fun makeRoomFor(
         call: GateCall,
@@ -97,7 +103,7 @@
     private fun idleTokens(): Long =
         residency.programs.entries.sumOf { (name, tokens) -> if ((programs[name]?.running ?: 0) > 0) 0L else tokens }
 
-    private fun paused(except: String): List<PausedProgram> =
+    private fun paused(except: String?): List<PausedProgram> =
         residency.programs.entries.mapNotNull { (name, tokens) ->
             val program = programs[name]
             val isIdle = name != except && (program == null || program.running == 0)
--- a/host/src/main/kotlin/sycamore/host/GateQueue.kt
+++ b/host/src/main/kotlin/sycamore/host/GateQueue.kt
@@ -4,9 +4,12 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.decisions.Admission
 import sycamore.decisions.GateDecision
+import sycamore.decisions.GateLoad
 import sycamore.decisions.Joining
 import sycamore.decisions.Overload
 import sycamore.decisions.QueueOrder
+import sycamore.decisions.Residency
+import sycamore.decisions.Retention
 import sycamore.decisions.ServedCall
 import sycamore.decisions.Speed
 import sycamore.decisions.UpstreamLimits
@@ -110,12 +113,40 @@
 
     private fun dispatch() {
         while (true) {
-            val next = rules.order.next(waiters.values.map { it.waiting }, served.recent(now), now) ?: return
-            if (rules.limits.admit(next, running, programs.runningTokens) is Admission.Hold) return
+            val next = next() ?: return
             send(waiters.remove(next.id)!!)
         }
     }
 
+    /** The call to send now. While the first in order waits for memory, those that are cached go ahead of it. */
+    private fun next(): WaitingCall? {
+        if (waiters.isEmpty() || running >= rules.limits.capacity) return null
+        val waiting = waiters.values.map { it.waiting }
+        val first = rules.order.next(waiting, served.recent(now), now) ?: return null
+        if (isAdmitted(first)) return first
+        val cached = rules.order.next(waiting.filter { it.isResident }, served.recent(now), now) ?: return null
+        return cached.takeIf { isAdmitted(it) }
+    }
+
+    private fun isAdmitted(call: WaitingCall): Boolean {
+        val limits = rules.limits
+        val held =
+            if (call.isResident || limits.memoryTokens == 0L) {
+                0L
+            } else {
+                val limit =
+                    Retention.holdLimit(
+                        speed.prefillPerToken,
+                        limits.memoryTokens,
+                        running,
+                        limits.capacity,
+                        now - call.since,
+                    )
+                programs.heldTokens(limit, now)
+            }
+        return limits.admit(call, GateLoad(running, programs.runningTokens, held)) is Admission.Admit
+    }
+
     private fun send(waiter: Waiter) {
         val call = waiter.call
         val now = now
@@ -165,8 +196,11 @@
         rules.evict(program)
     }
 
+    /** What is known of the upstream's cache. */
+    val residency: Residency get() = synchronized(lock) { programs.residency }
+
     /** Takes over what is known of the cache by [change]. */
-    fun updateResidency(change: (sycamore.decisions.Residency) -> sycamore.decisions.Residency) =
+    fun updateResidency(change: (Residency) -> Residency) =
         synchronized(lock) { programs.residency = change(programs.residency) }
 
     /** Tokens of [program] in the upstream's cache, as far as is known. */
--- a/standins/src/main/kotlin/sycamore/standins/engine/Engine.kt
+++ b/standins/src/main/kotlin/sycamore/standins/engine/Engine.kt
@@ -96,6 +96,16 @@
         return true
     }
 
+    /** Loses all calls and the whole cache, as in a restart. */
+    @Synchronized
+    fun crash(at: Duration) {
+        step(at)
+        calls.values.filter { it.end.isActive }.forEach(batch::cancel)
+        calls.clear()
+        cache.listing().keys.forEach(cache::evict)
+        cache.clear()
+    }
+
     /** Forgets [call], which has ended. */
     @Synchronized
     fun forget(call: RunningCall) {
--- a/standins/src/main/kotlin/sycamore/standins/engine/PrefixCache.kt
+++ b/standins/src/main/kotlin/sycamore/standins/engine/PrefixCache.kt
@@ -121,6 +121,11 @@
         return gone.sumOf { it.span.tokens.toLong() }
     }
 
+    /** Drops all blocks that no running sequence uses. */
+    fun clear() {
+        while (idle.isNotEmpty()) remove(idle.first())
+    }
+
     private fun pin(
         block: Block,
         program: String,
