--- a/bench/src/main/kotlin/sycamore/bench/Main.kt
+++ b/bench/src/main/kotlin/sycamore/bench/Main.kt
@@ -4,9 +4,20 @@
 
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
 import sycamore.bench.history.HistoryCommand
+import sycamore.bench.load.LoadCommand
 import sycamore.bench.policy.PolicyCommand
 import sycamore.daemon.Program
+import kotlin.system.exitProcess
+
+private val commands: Array<Subcommand>
+    get() =
+        arrayOf(
+            HistoryCommand(),
+            LoadCommand(),
+            PolicyCommand(),
+        )
 
 /** Load, policy, history and slope runs. */
 fun main(args: Array<String>) {
@@ -15,6 +26,7 @@
         return
     }
     val parser = ArgParser("sycamore-bench")
-    parser.subcommands(HistoryCommand(), PolicyCommand())
+    parser.subcommands(*commands)
     parser.parse(args)
+    exitProcess(0)
 }
