--- a/bench/src/main/kotlin/sycamore/bench/Main.kt
+++ b/bench/src/main/kotlin/sycamore/bench/Main.kt
@@ -7,6 +7,7 @@
 import kotlinx.cli.Subcommand
 import sycamore.bench.history.HistoryCommand
 import sycamore.bench.load.LoadCommand
+import sycamore.bench.policy.PolicyCommand
 import sycamore.daemon.Program
 import kotlin.system.exitProcess
 
@@ -15,6 +16,7 @@
         arrayOf(
             HistoryCommand(),
             LoadCommand(),
+            PolicyCommand(),
         )
 
 /** Load, policy, history and slope runs. */
