Add sycamore-bench slopes: state, bytes and processor time against size

Cause: docs/CAPACITY.md has to rest on measured slopes. Change: least-squares fits with their errors over at least three sizes: idle daemons as real processes, calls and tokens through a fleet, state and single steps on the daemons' own classes; table or JSON.

--- a/bench/src/main/kotlin/sycamore/bench/Main.kt
+++ b/bench/src/main/kotlin/sycamore/bench/Main.kt
@@ -7,6 +7,8 @@
 import kotlinx.cli.Subcommand
 import sycamore.bench.history.HistoryCommand
 import sycamore.bench.load.LoadCommand
+import sycamore.bench.slopes.IdleCommand
+import sycamore.bench.slopes.SlopesCommand
 import sycamore.daemon.Program
 import kotlin.system.exitProcess
 
@@ -14,7 +16,9 @@
     get() =
         arrayOf(
             HistoryCommand(),
+            IdleCommand(),
             LoadCommand(),
+            SlopesCommand(),
         )
 
 /** Load, policy, history and slope runs. */
--- a/bench/src/main/kotlin/sycamore/bench/fleet/ProcessUsage.kt
+++ b/bench/src/main/kotlin/sycamore/bench/fleet/ProcessUsage.kt
@@ -9,6 +9,7 @@
  *
  * @property cpu processor time since its start.
  * @property residentBytes resident memory at this moment.
+ * @property transferredBytes bytes read and written since its start, to sockets and files together.
  */
 data class ProcessUsage(
     val process: FleetProcess,
@@ -17,6 +18,7 @@
     val residentBytes: Long,
     val threads: Int,
     val descriptors: Int,
+    val transferredBytes: Long,
 ) {
     companion object {
         private const val KIBIBYTE = 1024L
@@ -31,7 +33,8 @@
             val pid = layout.pidOf(process) ?: return null
             val handle = ProcessHandle.of(pid).orElse(null)?.takeIf { it.isAlive } ?: return null
             val cpu = handle.info().totalCpuDuration().orElse(null) ?: return null
-            val status = statusOf(pid) ?: return null
+            val status = numbersIn(File("/proc/$pid/status")) ?: return null
+            val transfers = numbersIn(File("/proc/$pid/io")).orEmpty()
             return ProcessUsage(
                 process = process,
                 pid = pid,
@@ -39,11 +42,11 @@
                 residentBytes = (status["VmRSS"] ?: 0) * KIBIBYTE,
                 threads = (status["Threads"] ?: 0).toInt(),
                 descriptors = File("/proc/$pid/fd").list()?.size ?: 0,
+                transferredBytes = (transfers["rchar"] ?: 0) + (transfers["wchar"] ?: 0),
             )
         }
 
-        private fun statusOf(pid: Long): Map<String, Long>? {
-            val file = File("/proc/$pid/status")
+        private fun numbersIn(file: File): Map<String, Long>? {
             if (!file.canRead()) return null
             return runCatching { file.readLines() }.getOrNull()?.mapNotNull(::field)?.toMap()
         }
--- a/bench/src/main/kotlin/sycamore/bench/load/ChatClient.kt
+++ b/bench/src/main/kotlin/sycamore/bench/load/ChatClient.kt
@@ -28,7 +28,10 @@
     val program: String?,
     val text: String,
     val failure: String?,
-)
+) {
+    /** Words of the answer; the stand-in engine's tokens are words. */
+    val tokens: Int get() = text.count { it == ' ' }
+}
 
 /** Sends streamed chat completions without blocking a thread for each. */
 internal class ChatClient(
--- a/bench/src/main/kotlin/sycamore/bench/load/Tally.kt
+++ b/bench/src/main/kotlin/sycamore/bench/load/Tally.kt
@@ -14,11 +14,15 @@
     private val firstTokens = histogram()
     private val programs = histogram()
     private val answered = LongAdder()
+    private val parts = LongAdder()
     private val failures = ConcurrentHashMap<String, AtomicLong>()
 
     /** Calls answered whole. */
     val answers: Long get() = answered.sum()
 
+    /** Content events of all answers, of which the stand-in engine sends one for each token. */
+    val tokens: Long get() = parts.sum()
+
     /** Calls that failed. */
     val errors: Long get() = failures.values.sumOf { it.get() }
 
@@ -34,12 +38,14 @@
     /** Latency of whole programs. */
     val programTimes: Histogram get() = programs
 
-    /** Counts a whole answer that took [latency], and [firstToken] to its first token. */
+    /** Counts a whole answer of [tokens] that took [latency], and [firstToken] to its first token. */
     fun answered(
         latency: Duration,
         firstToken: Duration?,
+        tokens: Int,
     ) {
         answered.increment()
+        parts.add(tokens.toLong())
         calls.recordValue(micros(latency))
         firstToken?.let { firstTokens.recordValue(micros(it)) }
     }
@@ -58,6 +64,7 @@
         firstTokens.add(other.firstTokens)
         programs.add(other.programs)
         answered.add(other.answers)
+        parts.add(other.tokens)
         other.errorsByKind.forEach { (kind, count) ->
             failures.computeIfAbsent(kind) { AtomicLong() }.addAndGet(count)
         }
--- a/bench/src/main/kotlin/sycamore/bench/load/Traffic.kt
+++ b/bench/src/main/kotlin/sycamore/bench/load/Traffic.kt
@@ -120,7 +120,7 @@
             tally.failed(fault)
             return false
         }
-        tally.answered(result.ended - due, result.firstToken?.let { it - due })
+        tally.answered(result.ended - due, result.firstToken?.let { it - due }, result.tokens)
         return true
     }
 
--- /dev/null
+++ b/bench/src/main/kotlin/sycamore/bench/slopes/Samples.kt
@@ -0,0 +1,125 @@
+package sycamore.bench.slopes
+
+import sycamore.model.Address
+import sycamore.model.Budget
+import sycamore.model.CallId
+import sycamore.model.Caller
+import sycamore.model.CallerName
+import sycamore.model.Configuration
+import sycamore.model.Digest
+import sycamore.model.Epoch
+import sycamore.model.Generation
+import sycamore.model.HomeId
+import sycamore.model.HostName
+import sycamore.model.Incarnation
+import sycamore.model.ModelName
+import sycamore.model.Place
+import sycamore.model.PlaceName
+import sycamore.model.ProgramId
+import sycamore.model.RegionName
+import sycamore.model.Service
+import sycamore.model.ServiceKind
+import sycamore.model.ServiceName
+import sycamore.model.Upstream
+import sycamore.platform.ListedHost
+import sycamore.programs.Answer
+import sycamore.programs.BudgetReserved
+import sycamore.programs.BudgetSettled
+import sycamore.programs.CallAccepted
+import sycamore.programs.CallAnswered
+import sycamore.programs.CallIntended
+import sycamore.programs.ChatMessage
+import sycamore.programs.Numbered
+import sycamore.programs.ProgramStarted
+import sycamore.programs.Record
+import sycamore.programs.Usage
+import kotlin.random.Random
+import kotlin.time.Instant
+
+/** Programs, members and configurations of any size, made of the system's own types. */
+internal object Samples {
+    private const val SEED = 7
+    private const val VOCABULARY = 5_000
+    private const val TOKENS = 1_000L
+    private val service = ServiceName("assist-llm")
+    private val at = Instant.fromEpochSeconds(0)
+    private val words: List<String> =
+        Random(SEED).let { random -> List(VOCABULARY) { "w" + random.nextInt(VOCABULARY * VOCABULARY).toString(36) } }
+
+    val home = HomeId(PlaceName("svea-a"), HostName("m0"), Incarnation("0123456789ab"))
+
+    fun host(number: Int) =
+        ListedHost(HostName("host-$number"), PlaceName("place-${number % 12}"), Address("10.1.2.3", 7_000 + number))
+
+    /** Words drawn from a vocabulary, about [bytes] long. */
+    fun text(
+        bytes: Int,
+        seed: Int,
+    ): String =
+        buildString {
+            val random = Random(seed)
+            while (length < bytes) append(words[random.nextInt(VOCABULARY)]).append(' ')
+        }
+
+    fun call(number: Int): CallId = CallId(Digest.of(number.toString().encodeToByteArray()).hex)
+
+    /** The records of program [number] with [turns] turns, each with [messageBytes] asked and as many answered. */
+    fun records(
+        number: Int,
+        turns: Int,
+        messageBytes: Int,
+    ): List<Record> {
+        val id = ProgramId(home, number.toLong())
+        val start = ProgramStarted(id, CallerName("workshop"), service, null, id, Budget(), at)
+        return listOf(start) + (1..turns).flatMap { turn(id, it, messageBytes) }
+    }
+
+    private fun turn(
+        id: ProgramId,
+        turn: Int,
+        messageBytes: Int,
+    ): List<Record> {
+        val seed = id.number.toInt() * 1_000 + turn
+        val call = call(seed)
+        val asked = listOf(ChatMessage("user", text(messageBytes, seed)))
+        val body = text(messageBytes, -seed).encodeToByteArray()
+        val answer = Answer(200, "text/plain", body, finishReason = "stop", usage = Usage(TOKENS, TOKENS))
+        return listOf(
+            CallAccepted(id, call, turn, Digest.of(body), asked, idempotent = true, at),
+            BudgetReserved(id, call, TOKENS),
+            CallIntended(id, call, service, home.host, home.incarnation.value),
+            CallAnswered(id, call, answer),
+            BudgetSettled(id, call, TOKENS),
+        )
+    }
+
+    /** [records] as they stand in a log. */
+    fun numbered(records: List<Record>): List<Numbered> =
+        records.mapIndexed { i, record -> Numbered(i.toLong(), i.toLong(), Epoch.FIRST, record) }
+
+    fun caller(number: Int) =
+        Caller(CallerName("caller-$number"), "salt$number", Digest.of("salt${number}key-$number".encodeToByteArray()))
+
+    /** A configuration of [upstreams] model engines and [callers] accounts. */
+    fun configuration(
+        upstreams: Int,
+        callers: Int,
+    ) = Configuration(
+        Generation(1),
+        "publish",
+        List(12) { Place(PlaceName("place-$it"), RegionName("region-${it % 5}")) },
+        emptyList(),
+        List(callers, ::caller),
+        listOf(Service(service, ServiceKind.MODEL, List(upstreams, ::upstream))),
+    )
+
+    private fun upstream(number: Int) =
+        Upstream(
+            host(number).name,
+            host(number).place,
+            host(number).address,
+            capacity = 64,
+            models = listOf(ModelName("wheel-7b")),
+            memory = 64L shl 30,
+        )
+}
--- a/bench/src/test/kotlin/sycamore/bench/load/TallyTest.kt
+++ b/bench/src/test/kotlin/sycamore/bench/load/TallyTest.kt
@@ -8,21 +8,22 @@
     @Test
     fun `counts answers and errors by kind`() {
         val tally = Tally()
-        tally.answered(10.milliseconds, 4.milliseconds)
-        tally.answered(20.milliseconds, null)
+        tally.answered(10.milliseconds, 4.milliseconds, 8)
+        tally.answered(20.milliseconds, null, 8)
         repeat(2) { tally.failed("answer cut short") }
         tally.failed("EOFException")
         assertEquals(2, tally.answers)
         assertEquals(3, tally.errors)
         assertEquals(mapOf("EOFException" to 1L, "answer cut short" to 2L), tally.errorsByKind)
         assertEquals(1, tally.firstTokenTimes.totalCount)
+        assertEquals(16, tally.tokens)
     }
 
     @Test
     fun `adds up rounds`() {
         val tally = Tally()
         val other = Tally()
-        other.answered(10.milliseconds, 4.milliseconds)
+        other.answered(10.milliseconds, 4.milliseconds, 8)
         other.failed("EOFException")
         repeat(3) { tally.add(other) }
         assertEquals(3, tally.answers)
