--- a/bench/src/main/kotlin/sycamore/bench/history/Agent.kt
+++ b/bench/src/main/kotlin/sycamore/bench/history/Agent.kt
@@ -10,6 +10,8 @@
 import kotlinx.serialization.json.buildJsonObject
 import sycamore.links.Begun
 import sycamore.links.Call
+import sycamore.links.Done
+import sycamore.links.EndProgram
 import sycamore.links.Message
 import sycamore.links.Part
 import sycamore.links.Refused
@@ -219,7 +221,27 @@
         return Result.Broke
     }
 
+    /** Asks for the end of the program until an entry says that it has ended. */
     private suspend fun end() {
+        val program = id ?: return
+        repeat(MAX_ATTEMPTS) {
+            val entry = entry()
+            if (entry != null && isEnded(entry, program)) return
+            delay(NO_ENTRY_PAUSE)
+        }
+    }
+
+    private suspend fun isEnded(
+        entry: HostName,
+        program: ProgramId,
+    ): Boolean {
+        val daemon = fleet.process(entry)
+        val replies = Channel<Message>(Channel.UNLIMITED)
+        daemon.scope.launch {
+            daemon.entry!!.ask(program, EndProgram(program, Fleet.caller)).collect { replies.send(it) }
+        }
+        val reply = withTimeoutOrNull(PATIENCE) { replies.receive() }
+        return reply is Done || (reply as? Refused)?.refusal?.retryAfter == null && reply is Refused
     }
 
     private companion object {
--- a/bench/src/main/kotlin/sycamore/bench/history/Upstreams.kt
+++ b/bench/src/main/kotlin/sycamore/bench/history/Upstreams.kt
@@ -10,6 +10,7 @@
 import sycamore.links.Forward
 import sycamore.model.Digest
 import sycamore.model.HostName
+import sycamore.model.ProgramId
 import sycamore.model.Upstream
 import sycamore.programs.ChatBody
 import sycamore.programs.ChatMessage
@@ -30,16 +31,19 @@
     private val isHung: (HostName) -> Boolean,
 ) {
     private val caches = HashMap<HostName, MutableSet<Tag>>()
+    private val tags = HashMap<ProgramId, Tag>()
 
     /** The programs that the engine beside [host] holds cache of. */
     fun cached(host: HostName): Set<Tag> = caches[host].orEmpty().toSet()
 
-    /** Drops the cache of the program that said [tag] from the engine beside [host]. */
+    /** Drops the cache of [program] from the engine beside [host]; false while the engine hangs. */
     fun evict(
         host: HostName,
-        tag: Tag,
-    ) {
-        caches[host]?.remove(tag)
+        program: ProgramId,
+    ): Boolean {
+        if (isHung(host)) return false
+        tags[program]?.let { caches[host]?.remove(it) }
+        return true
     }
 
     /** Calls a model engine; see [sycamore.host.CallUpstream]. */
@@ -60,6 +64,7 @@
         val prompt = body.messages.filterNot { it.role == "assistant" && it === body.messages.last() }
         val promptTokens = prompt.sumOf { tokens(it.content) }
         recorder.record { EngineStarted(it, host, forward.id, prompt, promptTokens) }
+        tags[forward.program] = tagOf(prompt)
         caches.getOrPut(host) { HashSet() } += tagOf(prompt)
         val pieces = pieces(prompt).take(body.maxTokens.toInt())
         val text = pieces.joinToString("")
--- /dev/null
+++ b/daemon/src/main/kotlin/sycamore/daemon/Directory.kt
@@ -0,0 +1,52 @@
+package sycamore.daemon
+
+import sycamore.model.HomeId
+import sycamore.model.HostName
+import sycamore.platform.KeyValue
+import sycamore.platform.Read
+import sycamore.programs.HomeRecord
+import java.util.concurrent.ConcurrentHashMap
+
+/** Finds who serves the programs of homes that have ended. What it learned once stays true, so it is kept. */
+class Directory(
+    private val keys: KeyValue,
+) {
+    private val successors = ConcurrentHashMap<HomeId, HomeId>()
+
+    /** The last known successor of [home], or [home] itself. Asks nobody. */
+    fun known(home: HomeId): HomeId {
+        var last = home
+        while (true) last = successors[last] ?: return last
+    }
+
+    /** The home just before [last] in the known line of successors of [home], or null when [home] is [last]. */
+    fun before(
+        home: HomeId,
+        last: HomeId,
+    ): HomeId? = generateSequence(home) { successors[it] }.firstOrNull { successors[it] == last }
+
+    /** [home] has ended, and [successor] serves its programs. */
+    fun learn(
+        home: HomeId,
+        successor: HomeId,
+    ) {
+        if (known(successor) != home) successors[home] = successor
+    }
+
+    /** The last successor of [home] as recorded in the key-value service, or null when that does not answer. */
+    suspend fun current(home: HomeId): HomeId? {
+        var last = known(home)
+        while (true) {
+            val read = keys.get(HomeRecord.key(last)) as? Read.Found ?: return null
+            val record = read.value?.value?.let(HomeRecord::decode) ?: return last
+            learn(last, record.successor)
+            last = record.successor
+        }
+    }
+
+    /** The present home on [host]: null when the service does not answer or the host never had one. */
+    suspend fun homeOn(host: HostName): HomeId? {
+        val read = keys.get(HomeRecord.hostKey(host)) as? Read.Found ?: return null
+        return read.value?.value?.let { HomeId.parse(it.decodeToString()) }
+    }
+}
--- a/entry/src/main/kotlin/sycamore/entry/EntryDaemon.kt
+++ b/entry/src/main/kotlin/sycamore/entry/EntryDaemon.kt
@@ -3,19 +3,40 @@
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.flowOf
+import sycamore.daemon.ClockTime
+import sycamore.daemon.ConfigurationCodec
+import sycamore.daemon.Directory
+import sycamore.daemon.Peers
+import sycamore.links.AskConfiguration
+import sycamore.links.AskStatus
 import sycamore.links.Call
+import sycamore.links.ConfigurationText
+import sycamore.links.Declined
+import sycamore.links.Done
+import sycamore.links.FenceHome
+import sycamore.links.ForgetHome
+import sycamore.links.HostStatus
 import sycamore.links.Message
+import sycamore.links.Retain
+import sycamore.links.RetainedOf
 import sycamore.links.StartProgram
 import sycamore.links.Unsupported
 import sycamore.model.HostName
 import sycamore.model.ProgramId
 import sycamore.model.Service
+import sycamore.programs.RetainedRecords
+import kotlin.time.Duration.Companion.seconds
 
 /** Carries callers' calls to the homes of their programs. HTTP is on top of it, in [EntryHttp]. */
 class EntryDaemon internal constructor(
     world: EntryWorld,
 ) {
-    private val router = Router(world.members, world.exchange)
+    private val self = world.self
+    private val inForce = world.inForce
+    private val directory = Directory(world.keys)
+    private val peers = Peers(world.self.name, world.members, world.exchange)
+    private val router = Router(world.members, peers, directory, ClockTime.of(world.clock))
+    private val retained = RetainedRecords()
 
     /** Runs [call] of [service] and yields its answer. */
     fun call(
@@ -36,12 +57,40 @@
     ): Flow<Message> = router.ask(program, message)
 
     /** Answers a message of another daemon. */
-    @Suppress("UNUSED_PARAMETER")
     fun serve(
-        from: HostName,
+        @Suppress("UNUSED_PARAMETER") from: HostName,
         message: Message,
-    ): Flow<Message> = flowOf(Unsupported)
+    ): Flow<Message> =
+        when (message) {
+            is Retain -> flowOf(retain(message))
+            is FenceHome -> flowOf(fence(message))
+            is ForgetHome -> flowOf(Done.also { retained.drop(message.home) })
+            is AskStatus -> flowOf(HostStatus(self, leaving = false, queued = 0, running = 0, inForce.generation))
+            is AskConfiguration -> configuration(message)
+            else -> flowOf(Unsupported)
+        }
 
     /** Does the daemon's background work until cancelled. */
     suspend fun run(): Unit = awaitCancellation()
+
+    private fun retain(retain: Retain): Message {
+        val isKept = retained.keep(retain.home, retain.committed, retain.records)
+        return if (isKept) Done else Declined("the home has ended or there is no room", RETRY)
+    }
+
+    private fun fence(fence: FenceHome): Message {
+        directory.learn(fence.home, fence.successor)
+        val isKnown = retained.knows(fence.home)
+        return RetainedOf(fence.home, retained.end(fence.home), isKnown)
+    }
+
+    private fun configuration(ask: AskConfiguration): Flow<Message> {
+        val configuration = inForce.configuration.value
+        if (configuration == null || configuration.generation <= ask.above) return flowOf()
+        return flowOf(ConfigurationText(configuration.generation, ConfigurationCodec.text(configuration)))
+    }
+
+    private companion object {
+        val RETRY = 1.seconds
+    }
 }
--- a/entry/src/main/kotlin/sycamore/entry/Router.kt
+++ b/entry/src/main/kotlin/sycamore/entry/Router.kt
@@ -1,68 +1,111 @@
 package sycamore.entry
 
 import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.flow
 import kotlinx.coroutines.flow.flowOf
+import sycamore.daemon.Directory
 import sycamore.daemon.Members
+import sycamore.daemon.Peers
 import sycamore.links.Call
-import sycamore.links.Exchange
+import sycamore.links.Elsewhere
 import sycamore.links.Message
 import sycamore.links.Refused
 import sycamore.links.StartProgram
-import sycamore.model.Address
 import sycamore.model.CallId
+import sycamore.model.HostName
 import sycamore.model.ProgramId
 import sycamore.model.Service
 import sycamore.model.ServiceName
 import sycamore.programs.Outcome
 import sycamore.programs.Refusal
+import sycamore.programs.Rendezvous
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 
-/** Finds the home of a call's program and sends the call there. */
+/** Finds the home of a call's program and sends the call there, to its successor if the home is lost. */
 internal class Router(
     private val members: Members,
-    private val exchange: Exchange,
+    private val peers: Peers,
+    private val directory: Directory,
+    private val time: TimeSource.WithComparableMarks,
 ) {
-    /** Sends [call] of [service] to its home and yields the replies. */
+    private val lostHomes = LostHomes(members, peers, directory)
+
+    /** Sends [call] of [service] to its home and yields the replies, without repeats or gaps when the home changes. */
     fun send(
         service: Service,
         call: Call,
-    ): Flow<Message> {
-        val home = homeFor(service, call.program ?: call.parent)
-        return if (home == null) flowOf(Refused(call.id, noHome(call.service))) else exchange(home, call)
-    }
+    ): Flow<Message> =
+        flow {
+            val home = homeFor(service, call.program ?: call.parent, call.id)
+            if (home == null) {
+                emit(Refused(call.id, noHome(call.service)))
+            } else {
+                CarriedCall(service, call, home, peers, directory, lostHomes, time).run { emit(it) }
+            }
+        }
 
     /** Sends [start] to a host that may become the home of a program of [service], and yields the replies. */
     fun start(
         service: Service,
         start: StartProgram,
     ): Flow<Message> {
-        val home = homeFor(service, start.parent) ?: return flowOf(Refused(start.id, noHome(start.service)))
-        return exchange(home, start)
+        val home = homeFor(service, start.parent, start.id) ?: return flowOf(Refused(start.id, noHome(start.service)))
+        return flow { emit(askHome(home, start, start.parent) ?: Refused(start.id, unreachable(home))) }
     }
 
-    /** Sends [message] to the home of [program] and yields the replies. */
+    /** Sends [message] to the home of [program] and yields the answer. */
     fun ask(
         program: ProgramId,
         message: Message,
-    ): Flow<Message> {
-        val home = members.addressOf(program.origin.host)
-        return if (home == null) flowOf(Refused(CallId.random(), unreachable(program))) else exchange(home, message)
+    ): Flow<Message> =
+        flow {
+            val home = directory.known(program.origin).host
+            emit(askHome(home, message, program) ?: Refused(CallId.random(), unreachable(home)))
+        }
+
+    /** The answer of the home on [host], or of the one that it names instead, or of the successor of a lost one. */
+    private suspend fun askHome(
+        host: HostName,
+        message: Message,
+        program: ProgramId?,
+    ): Message? {
+        var at = host
+        repeat(MAX_HOPS) {
+            val reply = peers.ask(at, message, ASK_LIMIT)
+            if (reply !is Elsewhere) {
+                if (reply != null || program == null) return reply
+                val lost = directory.current(program.origin) ?: return null
+                val found = if (lost.host == at) lostHomes.successor(lost, null) else Recovered.At(lost)
+                at = (found as? Recovered.At)?.home?.host ?: return null
+            } else {
+                at = reply.home.host
+            }
+        }
+        return null
     }
 
     private fun homeFor(
         service: Service,
         program: ProgramId?,
-    ): Address? {
-        if (program != null) return members.addressOf(program.origin.host)
-        return service.upstreams.firstNotNullOfOrNull { members.addressOf(it.host) }
+        call: CallId,
+    ): HostName? {
+        if (program != null) return directory.known(program.origin).host
+        val hosts = service.upstreams.map { it.host }
+        val present = members.all.filter { !it.leaving }.map { it.name }
+        return Rendezvous.order(call.value, hosts).firstOrNull { it in present }
     }
 
     private fun noHome(service: ServiceName) =
-        Refusal(Outcome.NOT_RUN, UNAVAILABLE, "no host of service $service can be reached")
+        Refusal(Outcome.NOT_RUN, UNAVAILABLE, "no host of service $service can be reached", SOON)
 
-    private fun unreachable(program: ProgramId) =
-        Refusal(Outcome.NOT_RUN, UNAVAILABLE, "the home of program $program cannot be reached")
+    private fun unreachable(host: HostName) =
+        Refusal(Outcome.NOT_RUN, UNAVAILABLE, "host $host cannot be reached", SOON)
 
     private companion object {
         const val UNAVAILABLE = 503
+        const val MAX_HOPS = 4
+        val SOON = 2.seconds
+        val ASK_LIMIT = 5.seconds
     }
 }
--- /dev/null
+++ b/host/src/main/kotlin/sycamore/host/CallerRequests.kt
@@ -0,0 +1,105 @@
+package sycamore.host
+
+import sycamore.daemon.Directory
+import sycamore.daemon.InForce
+import sycamore.links.Done
+import sycamore.links.Elsewhere
+import sycamore.links.EndProgram
+import sycamore.links.Message
+import sycamore.links.ProgramView
+import sycamore.links.Refused
+import sycamore.links.ShowProgram
+import sycamore.links.StartProgram
+import sycamore.links.Unsupported
+import sycamore.model.CallId
+import sycamore.model.CallerName
+import sycamore.model.ProgramId
+import sycamore.programs.ProgramState
+import sycamore.programs.Refusal
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Answers what callers ask about programs, beside calls. */
+internal class CallerRequests(
+    private val home: Home,
+    private val inForce: InForce,
+    private val directory: Directory,
+    private val isLeaving: Boolean,
+) {
+    private val parts = home.recovery
+    private val journal = parts.journal
+
+    /** Answers [message], which starts, shows or ends a program. */
+    suspend fun answer(message: Message): Message =
+        try {
+            when (message) {
+                is StartProgram -> start(message)
+                is ShowProgram -> on(message.program, message.caller) { view(it) }
+                is EndProgram -> on(message.program, message.caller) { end(it) }
+                else -> Unsupported
+            }
+        } catch (e: HomeEnded) {
+            Elsewhere(CallId.random(), e.successor)
+        }
+
+    private suspend fun start(start: StartProgram): Message {
+        val service = inForce.configuration.value?.service(start.service)
+        if (service == null) return Refused(start.id, Refusals.later("no service ${start.service} is in force"))
+        if (isLeaving) return Refused(start.id, Refusals.later("the host is leaving"))
+        return when (val found = parts.starts.start(service, start)) {
+            is Found.Refused -> Refused(start.id, found.refusal)
+            is Found.Program -> started(start, found.state)
+        }
+    }
+
+    private suspend fun started(
+        start: StartProgram,
+        state: ProgramState,
+    ): Message {
+        val isSafe = journal.awaitSafe(setOf(state.id), SAFE_LIMIT)
+        return if (isSafe) view(state) else Refused(start.id, Refusals.later("the program cannot be made safe now"))
+    }
+
+    private suspend fun on(
+        program: ProgramId,
+        caller: CallerName,
+        act: suspend (ProgramState) -> Message,
+    ): Message {
+        journal.log.requireAlive()
+        val found = parts.starts.find(program, caller)
+        if (found is Found.Program) return act(found.state)
+        val current = directory.current(program.origin) ?: return refused(Refusals.later("the home is not known now"))
+        if (current != home.id) return Elsewhere(CallId.random(), current)
+        return refused((found as Found.Refused).refusal)
+    }
+
+    private suspend fun end(state: ProgramState): Message {
+        parts.lives.end(state.id, "explicit")
+        val isSafe = journal.awaitSafe(setOf(state.id), SAFE_LIMIT)
+        return if (isSafe) Done else refused(Refusals.later("the end of the program is not safe yet"))
+    }
+
+    private fun view(state: ProgramState): ProgramView {
+        val root = journal.table.find(state.root) ?: state
+        return ProgramView(
+            program = state.id,
+            service = state.service,
+            root = state.root,
+            parent = state.parent,
+            turns = state.turn,
+            inProgress = state.unresolved.size,
+            usage = state.usage,
+            budget = state.budget,
+            spentTokens = root.account.spent + root.account.held,
+            spentCalls = root.account.calls.toLong(),
+            startedAt = state.startedAt,
+            ended = state.ended,
+        )
+    }
+
+    private fun refused(refusal: Refusal) = Refused(CallId.random(), refusal)
+
+    private companion object {
+        val SAFE_LIMIT: Duration = 2.seconds
+    }
+}
--- a/host/src/main/kotlin/sycamore/host/Home.kt
+++ b/host/src/main/kotlin/sycamore/host/Home.kt
@@ -1,105 +1,84 @@
 package sycamore.host
 
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.FlowCollector
+import kotlinx.coroutines.flow.emitAll
 import kotlinx.coroutines.flow.flow
-import kotlinx.coroutines.sync.Mutex
-import kotlinx.coroutines.sync.withLock
-import sycamore.links.Begun
+import kotlinx.coroutines.launch
+import sycamore.daemon.Background
 import sycamore.links.Call
-import sycamore.links.Done
-import sycamore.links.EndProgram
-import sycamore.links.Fence
-import sycamore.links.Forward
+import sycamore.links.Elsewhere
+import sycamore.links.Homed
 import sycamore.links.Message
-import sycamore.links.Part
-import sycamore.links.ProgramView
 import sycamore.links.Refused
-import sycamore.links.ShowProgram
-import sycamore.links.StartProgram
-import sycamore.links.Whole
-import sycamore.model.Budget
-import sycamore.model.CallId
-import sycamore.model.CallerName
-import sycamore.model.Epoch
 import sycamore.model.HomeId
 import sycamore.model.ProgramId
 import sycamore.model.Service
-import sycamore.model.ServiceKind
-import sycamore.model.ServiceName
-import sycamore.programs.ChatBody
-import sycamore.programs.ChatMessage
-import sycamore.programs.Outcome
+import sycamore.programs.Admission
+import sycamore.programs.CallState
+import sycamore.programs.LiveProgram
+import sycamore.programs.ProgramLog
+import sycamore.programs.ProgramState
 import sycamore.programs.Refusal
-import sycamore.programs.Request
-import java.io.ByteArrayOutputStream
-import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
-/** Sends a call to a gate and yields its answer. */
-internal typealias ToGate = (forward: Forward) -> Flow<Message>
-
-/** Keeps the programs that live on this host: their order and history. */
+/** Keeps the programs that live on this host: their order, history and budget. */
 internal class Home(
-    private val self: HomeId,
-    private val toGate: ToGate,
+    private val parts: HomeParts,
+    private val background: Background,
 ) {
-    private val programs = ConcurrentHashMap<ProgramId, Conversation>()
-    private val nextNumber = AtomicLong()
-
-    private class Conversation(
-        val caller: CallerName,
-        val service: ServiceName,
-        val parent: ProgramId?,
-    ) {
-        val turns = Mutex()
-        var turn = 0
-        var history: List<ChatMessage> = emptyList()
-    }
-
-    /** Starts the program that [start] asks for. */
-    fun start(
-        start: StartProgram,
-        budget: Budget,
-    ): Message {
-        val id = ProgramId(self, nextNumber.incrementAndGet())
-        val program = Conversation(start.caller, start.service, start.parent)
-        programs[id] = program
-        return view(id, program, budget)
-    }
-
-    /** Shows the program that [show] asks for to its own account. */
-    fun show(
-        show: ShowProgram,
-        budgetOf: (ServiceName) -> Budget,
-    ): Message {
-        val program = programs[show.program]?.takeIf { it.caller == show.caller }
-        if (program == null) return Refused(CallId.random(), noProgram(show.program))
-        return view(show.program, program, budgetOf(program.service))
+    private val journal = parts.journal
+    private val streams = RunningStreams()
+    private val calls = CallRuns(parts, streams)
+    private val orphans = Orphans(parts, calls, streams)
+
+    /** Its id. */
+    val id: HomeId = journal.log.home
+
+    /** Completes with the successor once this home has ended. */
+    val ended get() = journal.log.ended
+
+    /** The parts that recovery works on. */
+    val recovery get() = parts
+
+    /** This home was taken over by [successor]. */
+    fun end(successor: HomeId) = journal.log.end(successor)
+
+    /** Does the home's own work until it has ended or the caller is cancelled. */
+    suspend fun run() {
+        coroutineScope {
+            val work =
+                listOf(
+                    launch { journal.log.run() },
+                    launch { parts.retention.run() },
+                    launch { parts.cleaner.run() },
+                    launch { parts.evictions.run() },
+                    launch { parts.idle.run() },
+                    launch { checkLog() },
+                )
+            val successor = journal.log.ended.await()
+            work.forEach { it.cancel() }
+            streams.endAll { Elsewhere(it, successor) }
+        }
     }
 
-    /** Ends the program that [end] asks for. */
-    fun end(end: EndProgram): Message {
-        val program = programs[end.program]?.takeIf { it.caller == end.caller }
-        if (program == null) return Refused(CallId.random(), noProgram(end.program))
-        programs.remove(end.program)
-        return Done
+    /** Takes in programs of a home that has ended, and resolves what it left unresolved. */
+    fun adopt(logs: List<ProgramLog>) {
+        val adopted = logs.filter { journal.adopt(it) }.mapNotNull { journal.table.find(it.program) }
+        adopted.forEach {
+            parts.starts.adopted(it)
+            parts.idle.touch(it.id)
+        }
+        val orphaned = adopted.filter { it.unresolved.isNotEmpty() }.map { it.id }
+        if (orphaned.isNotEmpty()) background.launch("resolving calls") { orphans.resolve(orphaned) }
+        parts.evictions.wake()
     }
 
-    private fun view(
-        id: ProgramId,
-        program: Conversation,
-        budget: Budget,
-    ) = ProgramView(
-        program = id,
-        service = program.service,
-        root = program.parent ?: id,
-        parent = program.parent,
-        turns = program.turn,
-        budget = budget,
-        spentCalls = program.turn.toLong(),
-    )
-
-    private fun noProgram(id: ProgramId) = Refusal(Outcome.NOT_RUN, NOT_FOUND, "no program $id lives here")
+    /** Whether [program] lives here. */
+    fun has(program: ProgramId): Boolean = journal.table.find(program) != null
 
     /** Runs [call] of [service] in its program's order. */
     fun run(
@@ -107,80 +86,147 @@
         call: Call,
     ): Flow<Message> =
         flow {
-            val id = call.program ?: ProgramId(self, nextNumber.incrementAndGet())
-            val program =
-                if (call.program == null) {
-                    Conversation(call.caller, call.service, call.parent).also { programs[id] = it }
-                } else {
-                    programs[id]?.takeIf { it.caller == call.caller }
-                }
-            if (program == null) {
-                emit(Refused(call.id, noProgram(id)))
-                return@flow
+            try {
+                serve(service, call)
+            } catch (e: HomeEnded) {
+                emit(Elsewhere(call.id, e.successor))
             }
-            program.turns.withLock { runTurn(service, call, id, program).collect { emit(it) } }
         }
 
-    private fun runTurn(
+    private suspend fun FlowCollector<Message>.serve(
         service: Service,
         call: Call,
-        id: ProgramId,
-        program: Conversation,
-    ): Flow<Message> =
-        flow {
-            program.turn++
-            val text = ByteArrayOutputStream()
-            val prompt = if (service.kind == ServiceKind.MODEL) prompt(call, program) else null
-            toGate(forward(service, call, id, prompt)).collect { reply ->
-                if (reply is Part) text.write(reply.bytes)
-                if (reply is Whole && prompt != null) program.history = prompt.messages + answer(reply, text)
-                emit(if (reply is Begun) reply.copy(turn = program.turn) else reply)
+    ) {
+        journal.log.requireAlive()
+        val program =
+            when (val found = parts.starts.programOf(service, call)) {
+                is Found.Refused -> return emit(Refused(call.id, found.refusal))
+                is Found.Program -> found.state
             }
+        emit(Homed(call.id, program.id, id))
+        when (val admitted = admit(service, call, program)) {
+            is Admitted.Follow -> follow(call, admitted.stream)
+            is Admitted.Kept -> KeptAnswer.replies(call, program.id, admitted).forEach { emit(it) }
+            is Admitted.Refused -> emit(Refused(call.id, admitted.refusal, program.id))
         }
+    }
 
-    private class Prompt(
-        val body: ChatBody,
-        val messages: List<ChatMessage>,
-    )
+    private suspend fun FlowCollector<Message>.follow(
+        call: Call,
+        stream: AnswerStream,
+    ) {
+        if (stream.agreesWith(call.releasedBody)) {
+            emitAll(stream.follow(call.released))
+        } else {
+            emit(Refused(call.id, Refusals.failed("the answer that had begun cannot be continued")))
+        }
+    }
 
-    private fun prompt(
+    /** Waits until [call] has its turn, and starts it then; or finds what a repeat gets. */
+    private suspend fun admit(
+        service: Service,
         call: Call,
-        program: Conversation,
-    ): Prompt? {
-        val body = ChatBody.parse(call.request.body) ?: return null
-        return Prompt(body, if (call.append) program.history + body.messages else body.messages)
+        program: ProgramState,
+    ): Admitted {
+        val limit = minOf(TURN_LIMIT, call.timeLeft / 2)
+        val wait = TurnWait(parts.time, limit)
+        while (true) {
+            val seen = journal.table.update(program.id) { it.changes.value } ?: return gone(program.id)
+            val step = journal.table.update(program.id) { tryAdmit(service, call, it) } ?: return gone(program.id)
+            if (step is Step.Done) return step.admitted
+            val changes = journal.table.update(program.id) { it.changes } ?: return gone(program.id)
+            if (!wait.until(changes, seen, journal.log.ended)) return missing(program.id, call)
+            journal.log.requireAlive()
+        }
     }
 
-    private fun answer(
-        whole: Whole,
-        text: ByteArrayOutputStream,
-    ) = ChatMessage("assistant", text.toByteArray().decodeToString(), whole.answer.toolCalls)
+    private fun tryAdmit(
+        service: Service,
+        call: Call,
+        live: LiveProgram,
+    ): Step {
+        parts.idle.touch(live.state.id)
+        return when (val admission = live.admit(call.id, call.turn, call.request.digest)) {
+            is Admission.Run -> begin(service, call, live, admission.turn, known = null)
+            is Admission.Resume -> begin(service, call, live, admission.call.turn, admission.call)
+            Admission.Attach -> streams.find(call.id)?.let { Step.Done(Admitted.Follow(it)) } ?: Step.Wait
+            is Admission.Kept -> Step.Done(Admitted.Kept(admission.turn, admission.result))
+            Admission.Wait -> Step.Wait
+            Admission.OtherRequest -> refuse(Refusals.otherRequest())
+            is Admission.TurnTaken -> refuse(Refusals.turnTaken(admission.next))
+            is Admission.Ended -> refuse(Refusals.programEnded(admission.reason))
+        }
+    }
 
-    private fun forward(
+    private fun begin(
         service: Service,
         call: Call,
-        id: ProgramId,
-        prompt: Prompt?,
-    ): Forward {
-        val request = prompt?.let { Request("POST", CHAT_PATH, body = it.body.with(it.messages, it.body.maxTokens)) }
-        return Forward(
-            id = call.id,
-            fence = Fence(self, Epoch.FIRST),
-            program = id,
-            caller = call.caller,
-            service = service.name,
-            request = request ?: call.request,
-            idempotent =
-                service.kind == ServiceKind.MODEL ||
-                    service.contract(call.request.method, call.request.path).idempotent,
-            promptTokens = 0,
-            released = call.released,
-            timeLeft = call.timeLeft,
-        )
+        live: LiveProgram,
+        turn: Int,
+        known: CallState?,
+    ): Step {
+        val refusal = if (known == null) refusalOfNew(call, live.state) else null
+        if (refusal != null) {
+            live.release(call.id)
+            return refuse(refusal)
+        }
+        val stream = AnswerStream(call.id, initial = call.releasedBody)
+        streams.add(call.id, stream)
+        val job = CallJob(service, call, live.state.id, live.state.root, turn, stream, known, parts.time.markNow())
+        background.launch("call ${call.id}") { calls.run(job) }
+        return Step.Done(Admitted.Follow(stream))
+    }
+
+    private fun refusalOfNew(
+        call: Call,
+        state: ProgramState,
+    ): Refusal? =
+        when {
+            journal.log.pendingBytes > MAX_PENDING_BYTES -> Refusals.later("too many records are not committed yet")
+            call.request.body.size > CallPreparation.MAX_REQUEST_BYTES * JSON_OVERHEAD ->
+                Refusals.tooLarge(CallPreparation.MAX_REQUEST_BYTES * JSON_OVERHEAD)
+            state.repeats >= MAX_REPEATS && call.request.digest == state.lastCall -> Refusals.loop(state.repeats)
+            else -> null
+        }
+
+    private fun missing(
+        program: ProgramId,
+        call: Call,
+    ): Admitted {
+        journal.table.update(program) { it.abandon(call.id) }
+        return Admitted.Refused(Refusals.turnMissing())
+    }
+
+    private fun gone(program: ProgramId) = Admitted.Refused(Refusals.noProgram(program))
+
+    private fun refuse(refusal: Refusal) = Step.Done(Admitted.Refused(refusal))
+
+    private suspend fun checkLog() {
+        while (true) {
+            journal.log.check()
+            delay(CHECK_PERIOD)
+        }
+    }
+
+    private sealed interface Step {
+        class Done(
+            val admitted: Admitted,
+        ) : Step
+
+        data object Wait : Step
     }
 
     private companion object {
-        const val NOT_FOUND = 404
-        const val CHAT_PATH = "/v1/chat/completions"
+        val TURN_LIMIT: Duration = 10.seconds
+        val CHECK_PERIOD: Duration = 1.seconds
+
+        /** Records that may wait for their commit, in bytes. */
+        const val MAX_PENDING_BYTES = 24L * 1024 * 1024
+
+        /** A whole conversation may be longer than what a call adds to it. */
+        const val JSON_OVERHEAD = 10
+
+        /** How often in a row the same call may get the same answer. */
+        const val MAX_REPEATS = 16
     }
 }
--- a/host/src/main/kotlin/sycamore/host/HostDaemon.kt
+++ b/host/src/main/kotlin/sycamore/host/HostDaemon.kt
@@ -1,40 +1,77 @@
 package sycamore.host
 
-import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.emitAll
+import kotlinx.coroutines.flow.flow
 import kotlinx.coroutines.flow.flowOf
+import kotlinx.coroutines.launch
+import sycamore.daemon.Background
 import sycamore.daemon.ConfigurationCodec
+import sycamore.daemon.Directory
+import sycamore.daemon.Peers
 import sycamore.links.AskConfiguration
+import sycamore.links.AskRoot
 import sycamore.links.AskStatus
+import sycamore.links.BarCall
 import sycamore.links.Call
 import sycamore.links.ConfigurationText
+import sycamore.links.Declined
+import sycamore.links.Done
+import sycamore.links.Elsewhere
 import sycamore.links.EndProgram
+import sycamore.links.EvictProgram
+import sycamore.links.FenceHome
+import sycamore.links.ForgetHome
 import sycamore.links.Forward
 import sycamore.links.HostStatus
 import sycamore.links.Message
 import sycamore.links.Refused
+import sycamore.links.Reserve
+import sycamore.links.Retain
+import sycamore.links.RetainedOf
+import sycamore.links.Settle
 import sycamore.links.ShowProgram
 import sycamore.links.StartProgram
+import sycamore.links.TakeOver
 import sycamore.links.Unsupported
-import sycamore.model.Budget
-import sycamore.model.CallId
 import sycamore.model.HomeId
 import sycamore.model.HostName
-import sycamore.model.Service
-import sycamore.model.ServiceName
-import sycamore.programs.Outcome
-import sycamore.programs.Refusal
+import sycamore.model.Incarnation
+import sycamore.model.ServiceKind
+import sycamore.programs.CallLedger
+import sycamore.programs.Fences
+import sycamore.programs.RetainedRecords
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** The daemon beside one upstream: gate of that upstream and home of programs. */
 class HostDaemon internal constructor(
-    world: HostWorld,
+    private val world: HostWorld,
 ) {
     private val self = world.self
     private val inForce = world.inForce
     private val members = world.members
-    private val exchange = world.exchange
-    private val gate = Gate(world.engine, world.service)
-    private val home = Home(HomeId(self.place, self.name, self.incarnation), ::toGate)
+    private val background = Background()
+    private val directory = Directory(world.keys)
+    private val peers = Peers(self.name, members, world.exchange)
+    private val fences = Fences()
+    private val retained = RetainedRecords()
+    private val gate =
+        Gate(self, world.engine, world.service, world.evictCache, CallLedger(time = world.time), fences, background)
+    private val gates = Gates(self, members, peers, ::atOwnGate)
+    private val collection = RetainedCollection(self.name, members, peers, retained)
+    private val takeovers = Takeovers(self.name, world.keys, peers, directory, collection, background) { home }
+    private val recovery = Recovery(self.name, world.keys, fences, directory, takeovers)
+    private val handOver = HandOver(members, peers, inForce, self.name)
+    private var homes = 0
+
+    @Volatile
+    private var home = newHome()
+
+    @Volatile
+    private var isLeaving = false
 
     /** Answers a message of another daemon. */
     fun serve(
@@ -43,69 +80,131 @@
     ): Flow<Message> =
         when (message) {
             is Call -> call(message)
-            is Forward -> forward(message)
-            is StartProgram -> start(message)
-            is ShowProgram -> flowOf(home.show(message, ::budgetOf))
-            is EndProgram -> flowOf(home.end(message))
+            is Forward, is BarCall -> atOwnGate(message)
+            is StartProgram, is ShowProgram, is EndProgram -> flow { emit(callers().answer(message)) }
             is AskConfiguration -> configuration(message)
-            is AskStatus -> flowOf(HostStatus(self, leaving = false, queued = 0, running = 0, inForce.generation))
+            is AskStatus -> flowOf(status())
+            is Retain -> flowOf(retain(message))
+            is FenceHome -> flowOf(fence(message))
+            is ForgetHome -> flowOf(Done.also { retained.drop(message.home) })
+            is TakeOver -> flow { emit(takeovers.takeOver(message)) }
+            is AskRoot, is Reserve, is Settle -> flow { emit(aboutRoot(message)) }
+            is EvictProgram -> flow { emit(evict(message)) }
             else -> flowOf(Unsupported)
         }
 
     /** Does the daemon's background work until cancelled. */
-    suspend fun run(): Unit = awaitCancellation()
-
-    private fun call(call: Call): Flow<Message> {
-        val service = inForce.configuration.value?.service(call.service)
-        return if (service == null) notRun(call.id, "no service ${call.service}") else home.run(service, call)
-    }
-
-    private fun start(start: StartProgram): Flow<Message> {
-        val service = inForce.configuration.value?.service(start.service)
-        return if (service == null) {
-            notRun(start.id, "no service ${start.service}")
-        } else {
-            flowOf(home.start(start, service.budget))
+    suspend fun run() {
+        coroutineScope {
+            launch { background.run() }
+            launch { recovery.loadFences() }
+            launch { expireLedger() }
+            while (true) {
+                val current = home
+                launch { recovery.announce(current.id) }
+                current.run()
+                home = newHome()
+            }
         }
     }
 
-    private fun budgetOf(service: ServiceName): Budget =
-        inForce.configuration.value
-            ?.service(service)
-            ?.budget ?: Budget()
-
-    private fun toGate(forward: Forward): Flow<Message> {
-        val service = inForce.configuration.value?.service(forward.service)
-        val target = service?.let(::chooseUpstream) ?: return notRun(forward.id, "no upstream of ${forward.service}")
-        if (target == self.name) return forward(forward)
-        val address = members.addressOf(target) ?: return notRun(forward.id, "host $target is not known")
-        return exchange(address, forward)
+    /**
+     * Stops in the planned way: takes no new work, hands its programs to a successor, and returns once the calls at its
+     * upstream are answered.
+     */
+    suspend fun stop() {
+        isLeaving = true
+        gate.isLeaving = true
+        handOver.run(home)
+        while (gate.calls > 0) delay(DRAIN_CHECK)
+        delay(LAST_REPLIES)
     }
 
-    private fun chooseUpstream(service: Service): HostName? {
-        val hosts = service.upstreams.map { it.host }
-        return if (self.name in hosts) self.name else hosts.firstOrNull { members.addressOf(it) != null }
+    private fun newHome(): Home {
+        homes++
+        val suffix = if (homes == 1) "" else "r$homes"
+        val id = HomeId(self.place, self.name, Incarnation(self.incarnation.value + suffix))
+        return Home(HomeParts(world, id, peers, directory, background, gates, ::evict), background)
     }
 
-    private fun forward(forward: Forward): Flow<Message> {
+    private fun callers() = CallerRequests(home, inForce, directory, isLeaving)
+
+    private fun call(call: Call): Flow<Message> =
+        flow {
+            val service = inForce.configuration.value?.service(call.service)
+            val locator = Locator(home, self.name, directory, takeovers)
+            val place = call.program?.let { locator.locate(it) } ?: Located.Here
+            when {
+                service == null -> emit(Refused(call.id, Refusals.later("no service ${call.service} is in force")))
+                place is Located.Elsewhere -> emit(Elsewhere(call.id, place.home))
+                place is Located.Unknown -> emit(Refused(call.id, Refusals.homeNotFound(call)))
+                call.program == null && isLeaving -> emit(Refused(call.id, Refusals.later("the host is leaving")))
+                else -> emitAll(home.run(service, call))
+            }
+        }
+
+    private fun atOwnGate(message: Message): Flow<Message> {
+        if (message is BarCall) return gate.bar(message)
+        val forward = message as Forward
         val (service, upstream) =
             inForce.configuration.value?.upstreamOf(self.name)
-                ?: return notRun(forward.id, "host ${self.name} has no upstream")
+                ?: return flowOf(Refused(forward.id, Refusals.later("host ${self.name} has no upstream")))
         return gate.run(service, upstream, forward)
     }
 
+    private suspend fun aboutRoot(message: Message): Message =
+        try {
+            val parts = home.recovery
+            when (message) {
+                is AskRoot -> parts.starts.root(message)
+                is Reserve -> parts.budgets.answer(message)
+                is Settle -> parts.budgets.answer(message)
+                else -> Unsupported
+            }
+        } catch (_: HomeEnded) {
+            Declined("the home was taken over", RETRY)
+        }
+
+    private fun retain(retain: Retain): Message {
+        val isKept = retained.keep(retain.home, retain.committed, retain.records)
+        return if (isKept) Done else Declined("the home has ended or there is no room", RETRY)
+    }
+
+    private fun fence(fence: FenceHome): Message {
+        fences.end(fence.home, fence.successor)
+        directory.learn(fence.home, fence.successor)
+        if (fence.home == home.id) home.end(fence.successor)
+        val isKnown = retained.knows(fence.home)
+        return RetainedOf(fence.home, retained.end(fence.home), isKnown)
+    }
+
+    private suspend fun evict(evict: EvictProgram): Message {
+        val (service, upstream) = inForce.configuration.value?.upstreamOf(self.name) ?: return Done
+        if (service.kind != ServiceKind.MODEL) return Done
+        val isEvicted = gate.evict(upstream, evict.program)
+        return if (isEvicted) Done else Declined("the engine did not acknowledge the eviction", RETRY)
+    }
+
+    private fun status() =
+        HostStatus(self, isLeaving, queued = 0, running = gate.calls, inForce.generation, home = home.id)
+
+    private suspend fun expireLedger() {
+        while (true) {
+            delay(EXPIRY_PERIOD)
+            gate.expire()
+        }
+    }
+
     private fun configuration(ask: AskConfiguration): Flow<Message> {
         val configuration = inForce.configuration.value
         if (configuration == null || configuration.generation <= ask.above) return flowOf()
         return flowOf(ConfigurationText(configuration.generation, ConfigurationCodec.text(configuration)))
     }
 
-    private fun notRun(
-        id: CallId,
-        detail: String,
-    ): Flow<Message> = flowOf(Refused(id, Refusal(Outcome.NOT_RUN, UNAVAILABLE, detail)))
-
     private companion object {
-        const val UNAVAILABLE = 503
+        val RETRY: Duration = 1.seconds
+        val DRAIN_CHECK: Duration = 0.05.seconds
+        val LAST_REPLIES: Duration = 0.5.seconds
+        val EXPIRY_PERIOD: Duration = 30.seconds
     }
 }
--- a/host/src/main/kotlin/sycamore/host/HostWorld.kt
+++ b/host/src/main/kotlin/sycamore/host/HostWorld.kt
@@ -1,11 +1,13 @@
 package sycamore.host
 
+import sycamore.daemon.ClockTime
 import sycamore.daemon.InForce
 import sycamore.daemon.Members
 import sycamore.links.Exchange
 import sycamore.model.Host
 import sycamore.platform.KeyValue
 import kotlin.time.Clock
+import kotlin.time.TimeSource
 
 /** All that a [HostDaemon] meets outside itself. */
 class HostWorld private constructor(
@@ -17,6 +19,8 @@
     val engine: CallUpstream,
     val service: CallUpstream,
     val clock: Clock,
+    val time: TimeSource.WithComparableMarks,
+    val evictCache: EvictCache,
 ) {
     /** Collects the parts of a [HostWorld]; those without a default have to be set. */
     class Builder internal constructor(
@@ -43,7 +47,16 @@
         /** Tells the time of day. */
         var clock: Clock = Clock.System
 
-        internal fun build() = HostWorld(self, inForce, members, exchange, keys, engine, service, clock)
+        /** Measures time; by default it goes with [clock]. */
+        var time: TimeSource.WithComparableMarks? = null
+
+        /** Has an engine evict the cache of a program. By default nothing is acknowledged. */
+        var evictCache: EvictCache = { _, _ -> false }
+
+        private fun time() = time ?: ClockTime.of(clock)
+
+        internal fun build() =
+            HostWorld(self, inForce, members, exchange, keys, engine, service, clock, time(), evictCache)
     }
 }
 
--- /dev/null
+++ b/host/src/main/kotlin/sycamore/host/Lives.kt
@@ -0,0 +1,42 @@
+package sycamore.host
+
+import sycamore.model.ProgramId
+import sycamore.programs.ProgramEnded
+import sycamore.programs.ProgramState
+import kotlin.time.Clock
+
+/** Ends programs. */
+internal class Lives(
+    private val journal: Journal,
+    private val clock: Clock,
+    private val evictions: Evictions,
+) {
+    /** Ends [program] and its sub-agents that live here, for [reason]; false when it does not live here. */
+    fun end(
+        program: ProgramId,
+        reason: String,
+    ): Boolean {
+        if (!endOne(program, reason)) return false
+        journal.table.all
+            .filter { isBelow(it, program) }
+            .forEach { endOne(it.id, reason) }
+        return true
+    }
+
+    private fun isBelow(
+        state: ProgramState,
+        program: ProgramId,
+    ): Boolean = state.id != program && state.ended == null && (state.parent == program || state.root == program)
+
+    private fun endOne(
+        program: ProgramId,
+        reason: String,
+    ): Boolean {
+        val isHere =
+            journal.table.update(program) { live ->
+                if (live.state.ended == null) journal.record(live, ProgramEnded(program, reason, clock.now()))
+            } != null
+        if (isHere) evictions.wake()
+        return isHere
+    }
+}
--- a/host/src/main/kotlin/sycamore/host/Main.kt
+++ b/host/src/main/kotlin/sycamore/host/Main.kt
@@ -36,6 +36,7 @@
                 exchange = links::exchange
                 engine = HttpEngine(http, Threads.blocking)::call
                 service = HttpService(http, Threads.blocking)::call
+                evictCache = HttpEviction(http, Threads.blocking)::evict
             }
         launch { inForce.follow(keys) }
         launch { daemon.run() }
--- /dev/null
+++ b/host/src/main/kotlin/sycamore/host/RetainerChoice.kt
@@ -0,0 +1,53 @@
+package sycamore.host
+
+import sycamore.daemon.Members
+import sycamore.model.Configuration
+import sycamore.model.Host
+import sycamore.model.HostName
+import sycamore.model.PlaceName
+import sycamore.model.RegionName
+import sycamore.programs.Rendezvous
+
+/** Chooses the hosts that retain records of a home. */
+internal class RetainerChoice(
+    private val self: Host,
+    private val members: Members,
+    private val configuration: () -> Configuration?,
+) {
+    private var last: List<HostName> = emptyList()
+
+    /**
+     * Hosts of other places of the region come first, then those of other regions, then those of this place. A choice
+     * stays until one of it has gone, since a change has to be committed before it helps.
+     */
+    fun choose(): List<HostName> {
+        val regions = configuration()?.places.orEmpty().associate { it.name to it.region }
+        val candidates = members.all.filter { it.name != self.name && !it.leaving }
+        val names = candidates.map { it.name }.toSet()
+        if (last.size == Retention.NAMED && names.containsAll(last)) return last
+        val ordered = Rendezvous.order(self.name.value, candidates.map { it.name }).withIndex()
+        val place = candidates.associate { it.name to it.place }
+        last =
+            ordered
+                .sortedWith(compareBy({ distance(place.getValue(it.value), regions) }, { it.index }))
+                .take(Retention.NAMED)
+                .map { it.value }
+        return last
+    }
+
+    private fun distance(
+        place: PlaceName,
+        regions: Map<PlaceName, RegionName>,
+    ): Int =
+        when {
+            place == self.place -> SAME_PLACE
+            regions[place] == regions[self.place] -> SAME_REGION
+            else -> OTHER_REGION
+        }
+
+    private companion object {
+        const val SAME_REGION = 0
+        const val OTHER_REGION = 1
+        const val SAME_PLACE = 2
+    }
+}
--- /dev/null
+++ b/host/src/main/kotlin/sycamore/host/Takeovers.kt
@@ -0,0 +1,177 @@
+package sycamore.host
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.Deferred
+import sycamore.daemon.Background
+import sycamore.daemon.Directory
+import sycamore.daemon.Peers
+import sycamore.links.Declined
+import sycamore.links.ForgetHome
+import sycamore.links.Message
+import sycamore.links.TakeOver
+import sycamore.links.TakenOver
+import sycamore.model.Epoch
+import sycamore.model.HomeId
+import sycamore.model.HostName
+import sycamore.platform.KeyValue
+import sycamore.platform.Read
+import sycamore.platform.Revision
+import sycamore.platform.Write
+import sycamore.programs.HomeRecord
+import sycamore.programs.LogMerge
+import sycamore.programs.Numbered
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.days
+import kotlin.time.Duration.Companion.seconds
+
+private val log = KotlinLogging.logger {}
+
+/** Takes over programs of homes that are lost or leave. */
+internal class Takeovers(
+    private val self: HostName,
+    private val keys: KeyValue,
+    private val peers: Peers,
+    private val directory: Directory,
+    private val collection: RetainedCollection,
+    private val background: Background,
+    private val home: () -> Home,
+) {
+    private val seals = LogSeals(keys)
+    private val running = ConcurrentHashMap<HomeId, Deferred<Message>>()
+    private val finished = ConcurrentHashMap.newKeySet<Pair<HomeId, HomeId>>()
+
+    /** Takes over the home that [order] names, unless it is alive or another host has done so. */
+    suspend fun takeOver(order: TakeOver): Message {
+        val lost = order.home
+        val result = CompletableDeferred<Message>()
+        val other = running.putIfAbsent(lost, result)
+        if (other != null) return other.await()
+        background.launch("taking over $lost") {
+            try {
+                result.complete(attempt(order))
+            } finally {
+                running.remove(lost)
+                result.complete(Declined("the takeover of $lost failed", RETRY))
+            }
+        }
+        return result.await()
+    }
+
+    /** Whether the programs of [lost] are here. */
+    fun isFinished(lost: HomeId): Boolean = (lost to home().id) in finished
+
+    private suspend fun attempt(order: TakeOver): Message {
+        val lost = order.home
+        val successor = home()
+        if (lost == successor.id) return Declined("$lost is alive")
+        if (isFinished(lost)) return TakenOver(lost, successor.id)
+        if (!order.isWilling && isAlive(lost)) return Declined("$lost is alive", RETRY)
+        val winner = claim(lost, successor) ?: return Declined("the key-value service does not answer", RETRY)
+        if (winner != successor.id) return TakenOver(lost, winner)
+        return recover(lost, successor)
+    }
+
+    private suspend fun isAlive(lost: HomeId): Boolean = lost.host != self && peers.status(lost.host)?.home == lost
+
+    /** The home that serves the programs of [lost] from now on; null when that cannot be told now. */
+    private suspend fun claim(
+        lost: HomeId,
+        successor: Home,
+    ): HomeId? {
+        val key = HomeRecord.key(lost)
+        val record =
+            HomeRecord(
+                successor.id,
+                successor.recovery.journal.log.epoch
+                    .next(),
+            )
+        return when (val write = keys.put(key, record.encode(), Revision.ABSENT, RECORD_LEASE)) {
+            is Write.Taken -> successor.id
+            is Write.Conflict -> write.current?.value?.let { HomeRecord.decode(it).successor }
+            is Write.NotSent -> null
+            is Write.NotKnown -> (keys.get(key) as? Read.Found)?.value?.value?.let { HomeRecord.decode(it).successor }
+        }
+    }
+
+    private suspend fun recover(
+        lost: HomeId,
+        successor: Home,
+    ): Message {
+        val logs = sealAll(lost, successor.id) ?: return Declined("the log of $lost cannot be read now", RETRY)
+        val retained = ArrayList<Numbered>()
+        for (one in logs) {
+            retained += collection.collect(one, successor.id) ?: return Declined("retainers cannot be asked now", RETRY)
+        }
+        import(logs, retained, successor)
+        directory.learn(lost, successor.id)
+        finished += lost to successor.id
+        background.launch("freeing the log of $lost") { free(logs, successor) }
+        return TakenOver(lost, successor.id)
+    }
+
+    /** Seals the log of [lost] and those that [lost] itself had taken over and not copied yet. */
+    private suspend fun sealAll(
+        lost: HomeId,
+        successor: HomeId,
+    ): List<LostLog>? {
+        val logs = ArrayList<LostLog>()
+        val open = ArrayDeque(listOf(lost))
+        val records = endedHomes() ?: return null
+        while (open.isNotEmpty()) {
+            val next = open.removeFirst()
+            val sealed = seals.seal(next, successor) ?: return null
+            if (next == lost || sealed.isFull) logs += sealed
+            open += records.filterValues { it.successor == next }.keys
+        }
+        return logs
+    }
+
+    private suspend fun endedHomes(): Map<HomeId, HomeRecord>? {
+        val read = keys.list(HomeRecord.PREFIX) as? Read.Found ?: return null
+        return read.value
+            .mapNotNull { item ->
+                val home = HomeRecord.home(item.key)
+                val value = item.value
+                if (home == null || value == null) null else home to HomeRecord.decode(value)
+            }.toMap()
+    }
+
+    private fun import(
+        logs: List<LostLog>,
+        retained: List<Numbered>,
+        successor: Home,
+    ) {
+        val journal = successor.recovery.journal
+        val records = logs.flatMap { it.records } + retained
+        val epoch = (logs.map { it.epoch } + records.map { it.epoch }).maxOrNull() ?: Epoch.FIRST
+        journal.log.raise(epoch)
+        val merged = LogMerge.merge(records)
+        val gaps = merged.sumOf { it.dropped.size }
+        successor.adopt(merged)
+        val lost = logs.first().home
+        log.info { "took over ${merged.size} programs of $lost, $gaps records after gaps were dropped" }
+    }
+
+    /** Once the programs are committed in the log of [successor], what is left of the lost home is dropped. */
+    private suspend fun free(
+        logs: List<LostLog>,
+        successor: Home,
+    ) {
+        successor.recovery.journal.log
+            .flush()
+        logs.forEach { one ->
+            seals.free(one)
+            one.retainers
+                .flatten()
+                .toSet()
+                .forEach { peers.ask(it, ForgetHome(one.home)) }
+        }
+    }
+
+    private companion object {
+        val RETRY: Duration = 1.seconds
+        val RECORD_LEASE: Duration = 35.days
+    }
+}
--- a/links/src/main/kotlin/sycamore/links/Message.kt
+++ b/links/src/main/kotlin/sycamore/links/Message.kt
@@ -9,6 +9,7 @@
 import sycamore.model.HomeId
 import sycamore.model.Host
 import sycamore.model.HostName
+import sycamore.model.Incarnation
 import sycamore.model.ProgramId
 import sycamore.model.ServiceName
 import sycamore.programs.Answer
@@ -29,6 +30,8 @@
  * @property released bytes of the answer that the caller has already got.
  * @property releasedBody those bytes, for a home that has to make an engine go on from them.
  * @property timeLeft until the caller's deadline.
+ * @property isStart whether this call began [program], whose home was lost since.
+ * @property mayRepeat whether [id] may have been sent before; false for a call that carries no idempotency key.
  */
 @Serializable
 @SerialName("call")
@@ -45,6 +48,8 @@
     val releasedBody: ByteArray,
     val timeLeft: Duration,
     val generation: Generation,
+    val isStart: Boolean = false,
+    val mayRepeat: Boolean = true,
 ) : Message
 
 /** Proves that the sender serves the programs of [home]. A gate refuses homes that were taken over. */
@@ -54,7 +59,15 @@
     val epoch: Epoch,
 )
 
-/** Home to gate: send this to the upstream. */
+/**
+ * Home to gate: send this to the upstream.
+ *
+ * @property released bytes of a chat's answer that are there already. The body then ends with them as a message of the
+ * assistant, and its bound of tokens still counts the whole answer.
+ * @property age how long ago the home accepted the call.
+ * @property gate the run of the gate whose ledger has to know or learn the call; null for any.
+ * @property attachOnly whether the call may not begin, only go on.
+ */
 @Serializable
 @SerialName("forward")
 data class Forward(
@@ -68,6 +81,9 @@
     val promptTokens: Long,
     val released: Long,
     val timeLeft: Duration,
+    val age: Duration = Duration.ZERO,
+    val gate: Incarnation? = null,
+    val attachOnly: Boolean = false,
 ) : Message
 
 /** First reply to [Call] and [Forward]: the upstream has begun to answer. */
@@ -158,6 +174,7 @@
     val queued: Int,
     val running: Int,
     val generation: Generation,
+    val home: HomeId? = null,
 ) : Message
 
 /** Which hosts does the receiver serve as home for, and how is it? Answered by [HostStatus]. */
--- a/programs/src/main/kotlin/sycamore/programs/Account.kt
+++ b/programs/src/main/kotlin/sycamore/programs/Account.kt
@@ -2,11 +2,13 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.serialization.Serializable
 import sycamore.model.Budget
 import sycamore.model.CallId
 import kotlin.time.Duration
 
 /** The limits of a budget. */
+@Serializable
 enum class BudgetLimit(
     val text: String,
 ) {
@@ -18,6 +20,9 @@
 
     /** Time since the root program began. */
     ELAPSED("elapsed time"),
+
+    /** The program has ended, so nothing is left. */
+    ENDED("the program's life"),
 }
 
 /** What became of an attempt to reserve part of a budget. */
@@ -52,21 +57,26 @@
     /** Tokens that are neither spent nor held. */
     fun left(budget: Budget): Long = budget.tokens - spent - held
 
-    /** Tries to hold [prompt] tokens and up to [answer] more for [call], [elapsed] after the root program began. */
+    /**
+     * Tries to hold [prompt] tokens and up to [answer] more for [call], [elapsed] after the root program began.
+     *
+     * @param again whether the call runs again and what it holds already is lost; a repeat gets what is held otherwise.
+     */
     fun reserve(
         budget: Budget,
         call: CallId,
         prompt: Long,
         answer: Long,
         elapsed: Duration,
+        again: Boolean = false,
     ): Reservation {
         val known = reserved[call] ?: settled[call]
-        if (known != null) return Reservation.Granted(known)
+        if (known != null && !again) return Reservation.Granted(known)
         if (elapsed >= budget.elapsed) return Reservation.Exhausted(BudgetLimit.ELAPSED)
-        if (calls >= budget.calls) return Reservation.Exhausted(BudgetLimit.CALLS)
+        if (known == null && calls >= budget.calls) return Reservation.Exhausted(BudgetLimit.CALLS)
         val needed = if (answer > 0) prompt + 1 else prompt
         if (needed > left(budget)) return Reservation.Exhausted(BudgetLimit.TOKENS)
-        return Reservation.Granted(minOf(prompt + answer, left(budget)))
+        return Reservation.Granted((reserved[call] ?: 0) + minOf(prompt + answer, left(budget)))
     }
 
     internal fun apply(record: BudgetReserved): Account {
--- a/programs/src/main/kotlin/sycamore/programs/CallState.kt
+++ b/programs/src/main/kotlin/sycamore/programs/CallState.kt
@@ -6,11 +6,12 @@
 import sycamore.model.Incarnation
 import sycamore.model.ServiceName
 
-/** Where a call was or may have been sent. */
+/** Where a call was or may have been sent, and the tokens held for that. */
 data class Intent(
     val service: ServiceName,
     val gate: HostName,
     val gateIncarnation: Incarnation,
+    val held: Long = 0,
 )
 
 /** How a call ended. */
@@ -43,4 +44,7 @@
     val idempotent: Boolean,
     val intents: List<Intent> = emptyList(),
     val result: CallResult? = null,
-)
+) {
+    /** Whether it ended without anyone knowing whether it ran. */
+    val isUnknown: Boolean get() = (result as? CallResult.Ended)?.refusal?.outcome == Outcome.UNKNOWN
+}
--- a/programs/src/main/kotlin/sycamore/programs/ChatBody.kt
+++ b/programs/src/main/kotlin/sycamore/programs/ChatBody.kt
@@ -34,6 +34,9 @@
     /** The upper bound of the answer's length in tokens. */
     val maxTokens: Long get() = limit("max_completion_tokens") ?: limit("max_tokens") ?: DEFAULT_MAX_TOKENS
 
+    /** Bytes of what the prompt may hold beside the messages, such as the descriptions of tools. */
+    val otherBytes: Int get() = fields.filterKeys { it !in replaced }.toString().length
+
     /** The body with [messages], an upper bound of [maxTokens], and a streamed answer. */
     fun with(
         messages: List<ChatMessage>,
--- a/programs/src/main/kotlin/sycamore/programs/LiveProgram.kt
+++ b/programs/src/main/kotlin/sycamore/programs/LiveProgram.kt
@@ -107,8 +107,11 @@
         digest: Digest,
     ): Admission {
         val result = known.result
+        val mayRunAgain = known.isUnknown && known.idempotent && known.turn == state.turn && state.ended == null
         return when {
             known.digest != digest -> Admission.OtherRequest
+            mayRunAgain && running == null -> Admission.Resume(known).also { running = known.id }
+            mayRunAgain && running == known.id -> Admission.Attach
             result != null -> Admission.Kept(known.turn, result)
             running == known.id -> Admission.Attach
             else -> Admission.Resume(known).also { running = known.id }
--- a/programs/src/main/kotlin/sycamore/programs/ProgramState.kt
+++ b/programs/src/main/kotlin/sycamore/programs/ProgramState.kt
@@ -21,6 +21,7 @@
  * @property version how many records were folded.
  * @property turn the last turn that was taken.
  * @property contextTokens prompt and answer of the last chat completion, which the next prompt repeats.
+ * @property usage tokens of all calls that were answered.
  * @property account what was spent; of use in root programs only.
  * @property residents tokens that engines may hold in their caches, by host.
  * @property repeats how often in a row the same call got the same answer.
@@ -38,6 +39,7 @@
     val calls: PersistentMap<CallId, CallState> = persistentMapOf(),
     val turn: Int = 0,
     val contextTokens: Long = 0,
+    val usage: Usage = Usage(),
     val account: Account = Account(),
     val residents: PersistentMap<HostName, Long> = persistentMapOf(),
     val repeats: Int = 0,
@@ -77,7 +79,7 @@
 
     private fun intend(record: CallIntended): ProgramState {
         val call = calls[record.call] ?: return this
-        val intent = Intent(record.service, record.gate, Incarnation(record.gateIncarnation))
+        val intent = Intent(record.service, record.gate, Incarnation(record.gateIncarnation), record.held)
         val reached =
             if (call.messages.isEmpty()) {
                 residents
@@ -100,6 +102,7 @@
                 repeats = if (isSame) repeats + 1 else 1,
                 lastCall = call.digest,
                 lastAnswer = record.answer.digest,
+                usage = usage + record.answer.usage,
             )
         return if (call.messages.isEmpty() || !record.answer.isSuccess) next else next.converse(call, record.answer)
     }
--- a/programs/src/main/kotlin/sycamore/programs/ProgramTable.kt
+++ b/programs/src/main/kotlin/sycamore/programs/ProgramTable.kt
@@ -12,9 +12,17 @@
     /** The state of [program], or null when it does not live here. */
     fun find(program: ProgramId): ProgramState? = update(program) { it.state }
 
-    /** Adds a program unless it is there already; returns whether it did. */
-    fun add(state: ProgramState): Boolean =
-        shards.on(state.id) { shard -> shard.putIfAbsent(state.id, LiveProgram(state)) == null }
+    /** Adds a program unless it is there already, and runs [then] under its lock; returns whether it did. */
+    fun add(
+        state: ProgramState,
+        then: () -> Unit = {},
+    ): Boolean =
+        shards.on(state.id) { shard ->
+            if (state.id in shard) return@on false
+            then()
+            shard[state.id] = LiveProgram(state)
+            true
+        }
 
     /** Runs [block] on [program] under its lock. Null when the program does not live here. */
     fun <R> update(
--- a/programs/src/main/kotlin/sycamore/programs/Record.kt
+++ b/programs/src/main/kotlin/sycamore/programs/Record.kt
@@ -44,7 +44,11 @@
     val at: Instant,
 ) : Record
 
-/** The call may reach the upstream beside [gate] from now on. Written before it leaves home. */
+/**
+ * The call may reach the upstream beside [gate] from now on. Written before it leaves home.
+ *
+ * @property held tokens of the budget that are held for this attempt.
+ */
 @Serializable
 @SerialName("intent")
 data class CallIntended(
@@ -53,6 +57,7 @@
     val service: ServiceName,
     val gate: HostName,
     val gateIncarnation: String,
+    val held: Long = 0,
 ) : Record
 
 /** The call ended with an answer. */
--- a/programs/src/main/kotlin/sycamore/programs/RetainedRecords.kt
+++ b/programs/src/main/kotlin/sycamore/programs/RetainedRecords.kt
@@ -14,6 +14,7 @@
     private class Shard {
         val records = HashMap<HomeId, HashMap<Long, Numbered>>()
         val ended = HashSet<HomeId>()
+        val known = HashSet<HomeId>()
     }
 
     private val shards = Shards { Shard() }
@@ -30,6 +31,7 @@
     ): Boolean =
         shards.on(home) { shard ->
             if (home in shard.ended) return@on false
+            shard.known += home
             val kept = shard.records.getOrPut(home) { HashMap() }
             kept.keys.filter { it <= committed }.forEach { number -> remove(kept, number) }
             val added = records.filter { it.number > committed && it.number !in kept }
@@ -50,6 +52,9 @@
                 .sortedBy { it.number }
         }
 
+    /** Whether [home] ever had something kept here. */
+    fun knows(home: HomeId): Boolean = shards.on(home) { home in it.known }
+
     /** Drops what is kept of [home], whose successor has committed it. */
     fun drop(home: HomeId) {
         shards.on(home) { shard ->
--- a/programs/src/main/kotlin/sycamore/programs/Segment.kt
+++ b/programs/src/main/kotlin/sycamore/programs/Segment.kt
@@ -6,6 +6,7 @@
 import kotlinx.serialization.encodeToByteArray
 import sycamore.model.Epoch
 import sycamore.model.HomeId
+import sycamore.model.HostName
 import java.io.ByteArrayInputStream
 import java.io.ByteArrayOutputStream
 import java.util.zip.Deflater
@@ -16,6 +17,8 @@
  * One value of a home's log in the key-value service.
  *
  * @property id unique to one attempt to write, so that a writer whose answer was lost can tell its own value.
+ * @property retainers hosts, and no others, that may keep records above this segment's.
+ * @property formerRetainers hosts that may keep some as well, since they were named before.
  * @property sealedBy the home that took over; nothing may follow such a segment.
  */
 @Serializable
@@ -24,6 +27,8 @@
     val id: String,
     val epoch: Epoch,
     val records: List<Numbered>,
+    val retainers: List<HostName> = emptyList(),
+    val formerRetainers: List<HostName> = emptyList(),
     val sealedBy: HomeId? = null,
 )
 
