--- a/bench/src/main/kotlin/sycamore/bench/history/Agent.kt
+++ b/bench/src/main/kotlin/sycamore/bench/history/Agent.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.JsonArray
@@ -14,6 +15,7 @@
 import sycamore.links.EndProgram
 import sycamore.links.Message
 import sycamore.links.Part
+import sycamore.links.ProgramView
 import sycamore.links.Refused
 import sycamore.links.Whole
 import sycamore.model.CallId
@@ -180,10 +182,17 @@
         call: Call,
     ): Channel<Message> {
         val daemon = fleet.process(entry)
+        return collect(daemon) { daemon.entry!!.call(fleet.service(call.service), call) }
+    }
+
+    private fun collect(
+        daemon: RunningDaemon,
+        flow: () -> Flow<Message>,
+    ): Channel<Message> {
         val replies = Channel<Message>(Channel.UNLIMITED)
         daemon.scope.launch {
             try {
-                daemon.entry!!.call(fleet.service(call.service), call).collect { replies.send(it) }
+                flow().collect { replies.send(it) }
                 replies.close()
             } catch (e: Exception) {
                 replies.close(e)
@@ -221,27 +230,26 @@
         return Result.Broke
     }
 
-    /** Asks for the end of the program until an entry says that it has ended. */
+    /** Ends the program, by another entry if need be; the idle limit ends it if none can. */
     private suspend fun end() {
         val program = id ?: return
-        repeat(MAX_ATTEMPTS) {
+        for (attempt in 1..MAX_ATTEMPTS) {
             val entry = entry()
-            if (entry != null && isEnded(entry, program)) return
+            if (entry != null && endBy(entry, program)) return
             delay(NO_ENTRY_PAUSE)
         }
     }
 
-    private suspend fun isEnded(
+    private suspend fun endBy(
         entry: HostName,
         program: ProgramId,
     ): Boolean {
         val daemon = fleet.process(entry)
-        val replies = Channel<Message>(Channel.UNLIMITED)
-        daemon.scope.launch {
-            daemon.entry!!.ask(program, EndProgram(program, Fleet.caller)).collect { replies.send(it) }
+        val replies = collect(daemon) { daemon.entry!!.ask(program, EndProgram(program, Fleet.caller)) }
+        return when (withTimeoutOrNull(PATIENCE) { replies.receiveCatching() }?.getOrNull()) {
+            is Done, is ProgramView -> true
+            else -> false
         }
-        val reply = withTimeoutOrNull(PATIENCE) { replies.receive() }
-        return reply is Done || (reply as? Refused)?.refusal?.retryAfter == null && reply is Refused
     }
 
     private companion object {
--- a/daemon/src/main/kotlin/sycamore/daemon/Peers.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/Peers.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.flow.emitAll
 import kotlinx.coroutines.flow.firstOrNull
 import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.flow.transformWhile
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.links.AskStatus
@@ -51,31 +52,60 @@
 
     /**
      * As [send], for answers that may take long: a daemon that is silent is asked for its status from time to time.
-     * When it does not answer, the flow fails as if the link was lost.
+     * When it does not answer, the flow fails as if the link was lost. All replies before a failure are delivered.
      */
     fun stream(
         host: HostName,
         message: Message,
     ): Flow<Message> =
+        watched(host, message).transformWhile { step ->
+            if (step is Step.Lost) throw step.cause
+            if (step is Step.Reply) emit(step.message)
+            step is Step.Reply
+        }
+
+    /** A step of a watched exchange. Failures travel in line, since a flow that fails drops what it has buffered. */
+    private sealed interface Step {
+        class Reply(
+            val message: Message,
+        ) : Step
+
+        class Lost(
+            val cause: LinkException,
+        ) : Step
+
+        data object End : Step
+    }
+
+    private fun watched(
+        host: HostName,
+        message: Message,
+    ): Flow<Step> =
         channelFlow {
             val received = AtomicLong()
-            val watch = launch { watch(host, received) }
-            send(host, message).collect {
-                received.incrementAndGet()
-                send(it)
+            launch {
+                awaitSilence(host, received)
+                send(Step.Lost(LinkException("host $host is silent", sent = true)))
+            }
+            try {
+                send(host, message).collect {
+                    received.incrementAndGet()
+                    send(Step.Reply(it))
+                }
+                send(Step.End)
+            } catch (e: LinkException) {
+                send(Step.Lost(e))
             }
-            watch.cancel()
         }
 
-    private suspend fun watch(
+    private suspend fun awaitSilence(
         host: HostName,
         received: AtomicLong,
     ) {
         while (true) {
             val before = received.get()
             delay(SILENCE)
-            if (received.get() != before) continue
-            if (status(host) == null) throw LinkException("host $host is silent", sent = true)
+            if (received.get() == before && status(host) == null) return
         }
     }
 
