Name the gate's ledger entry apart from the queue's call

Cause: two parts merged with one name, GateCall, for two types. Change: LedgerCall for the entry of the gate's ledger.

--- a/host/src/main/kotlin/sycamore/host/Gate.kt
+++ b/host/src/main/kotlin/sycamore/host/Gate.kt
@@ -44,7 +44,7 @@
     private val engine: CallUpstream,
     private val service: CallUpstream,
     private val evictCache: EvictCache,
-    private val ledger: CallLedger<GateCall>,
+    private val ledger: CallLedger<LedgerCall>,
     private val fences: Fences,
     private val background: Background,
     private val admit: Admit = { _, _, run ->
@@ -52,7 +52,7 @@
         null
     },
 ) {
-    private val running = ConcurrentHashMap<CallId, GateCall>()
+    private val running = ConcurrentHashMap<CallId, LedgerCall>()
 
     /** Whether new calls are turned away since the host is leaving. */
     @Volatile
@@ -135,7 +135,7 @@
         forward: Forward,
         base: Long,
     ): Flow<Message> =
-        when (val entering = ledger.enter(forward.id, forward.age) { GateCall(forward, base) }) {
+        when (val entering = ledger.enter(forward.id, forward.age) { LedgerCall(forward, base) }) {
             is Entering.New -> {
                 val call = entering.value
                 running[forward.id] = call
@@ -151,7 +151,7 @@
     private suspend fun carry(
         of: Service,
         upstream: Upstream,
-        call: GateCall,
+        call: LedgerCall,
     ) {
         try {
             val refusal = admit(upstream, call.forward) { runUpstream(of, upstream, call) }
@@ -166,7 +166,7 @@
     private suspend fun runUpstream(
         of: Service,
         upstream: Upstream,
-        call: GateCall,
+        call: LedgerCall,
     ) {
         if (call.stream.isEnded) return
         call.job = background.launch("upstream call") { collect(of, upstream, call) }.await()
@@ -177,7 +177,7 @@
     private suspend fun collect(
         of: Service,
         upstream: Upstream,
-        call: GateCall,
+        call: LedgerCall,
     ) {
         val send = if (of.kind == ServiceKind.MODEL) engine else service
         try {
@@ -193,7 +193,7 @@
     }
 
     private fun take(
-        call: GateCall,
+        call: LedgerCall,
         event: UpstreamEvent,
     ) {
         val forward = call.forward
@@ -207,7 +207,7 @@
     }
 
     private fun whole(
-        call: GateCall,
+        call: LedgerCall,
         end: UpstreamEvent.End,
     ): Whole {
         val answer = Answer(end.status, end.contentType, ByteArray(0), end.toolCalls, end.finishReason, end.usage)
@@ -215,7 +215,7 @@
     }
 
     private fun broken(
-        call: GateCall,
+        call: LedgerCall,
         detail: String,
     ) {
         val isIdempotent = call.forward.idempotent
@@ -225,7 +225,7 @@
     }
 
     private fun endUnrun(
-        call: GateCall,
+        call: LedgerCall,
         last: Message,
     ) {
         ledger.withdraw(call.forward.id)
@@ -233,7 +233,7 @@
     }
 
     private fun unknown(
-        call: GateCall,
+        call: LedgerCall,
         status: Int,
         detail: String,
     ) = Refused(call.forward.id, Refusal(Outcome.UNKNOWN, status, detail))
@@ -257,7 +257,7 @@
 }
 
 /** A call in a gate's ledger. */
-internal class GateCall(
+internal class LedgerCall(
     val forward: Forward,
     base: Long,
 ) {
