Log JSON lines with program, call, epoch and generation, and measure requests

Each line has the same fields; LogContext holds those of the process, About those of one line. Requests are timed until their answer is written, by service and outcome; refusals, requests in progress, first parts, JVM, generation and certificate expiry stand at /metrics. HostWorld and EntryWorld gain a meter registry with a default.

--- a/daemon/src/main/kotlin/sycamore/daemon/AdminHttp.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/AdminHttp.kt
@@ -1,7 +1,5 @@
 package sycamore.daemon
 
-import io.micrometer.prometheusmetrics.PrometheusConfig
-import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import org.http4k.core.Method
 import org.http4k.core.Request
 import org.http4k.core.Response
@@ -10,22 +8,35 @@
 import org.http4k.routing.bind
 import org.http4k.routing.routes
 
-/** Health, readiness and metrics of a daemon. */
+/**
+ * Health, readiness and metrics of a daemon.
+ *
+ * @param isLeaving whether the daemon takes no new work; it is then not ready.
+ */
 class AdminHttp(
     private val inForce: InForce,
-    val metrics: PrometheusMeterRegistry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT),
+    private val metrics: Metrics = Metrics(),
+    private val isLeaving: () -> Boolean = { false },
 ) {
     /** `/healthz`, `/readyz` and `/metrics`. */
     val handler: RoutingHttpHandler =
         routes(
-            "/healthz" bind Method.GET to { _: Request -> Response(Status.OK).body("ok\n") },
+            "/healthz" bind Method.GET to { _: Request -> text(Status.OK, "ok\n") },
             "/readyz" bind Method.GET to { _: Request -> readiness() },
-            "/metrics" bind Method.GET to { _: Request -> Response(Status.OK).body(metrics.scrape()) },
+            "/metrics" bind Method.GET to { _: Request -> text(Status.OK, metrics.scrape()) },
         )
 
     private fun readiness(): Response {
         val configuration = inForce.configuration.value
-        if (configuration == null) return Response(Status.SERVICE_UNAVAILABLE).body("no configuration is in force\n")
-        return Response(Status.OK).body("generation ${configuration.generation}\n")
+        return when {
+            isLeaving() -> text(Status.SERVICE_UNAVAILABLE, "leaving\n")
+            configuration == null -> text(Status.SERVICE_UNAVAILABLE, "no configuration is in force\n")
+            else -> text(Status.OK, "generation ${configuration.generation}\n")
+        }
     }
+
+    private fun text(
+        status: Status,
+        body: String,
+    ) = Response(status).header("content-type", "text/plain; version=0.0.4; charset=utf-8").body(body)
 }
--- a/daemon/src/main/kotlin/sycamore/daemon/InForce.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/InForce.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
+import sycamore.daemon.log.LogContext
 import sycamore.model.Configuration
 import sycamore.model.Generation
 import sycamore.platform.KeyValue
@@ -30,6 +31,7 @@
             val current = state.value
             if (current != null && current.generation >= offered.generation) return false
             if (state.compareAndSet(current, offered)) {
+                LogContext.generation(offered.generation)
                 log.info { "generation ${offered.generation} is in force" }
                 return true
             }
--- /dev/null
+++ b/daemon/src/main/kotlin/sycamore/daemon/log/JsonLineEncoder.kt
@@ -0,0 +1,52 @@
+package sycamore.daemon.log
+
+import ch.qos.logback.classic.spi.ILoggingEvent
+import ch.qos.logback.classic.spi.ThrowableProxyUtil
+import ch.qos.logback.core.encoder.EncoderBase
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+
+/**
+ * Writes each log event as one line of JSON.
+ *
+ * Every line has the fields `time`, `level`, `host`, `generation`, `epoch`, `program`, `call`, `logger` and `message`,
+ * null where they do not apply; `error` holds a stack trace. Values come from the event's key-value pairs first, then
+ * from the properties that [LogContext] sets for the whole process.
+ */
+class JsonLineEncoder : EncoderBase<ILoggingEvent>() {
+    override fun headerBytes(): ByteArray? = null
+
+    override fun footerBytes(): ByteArray? = null
+
+    override fun encode(event: ILoggingEvent): ByteArray =
+        (JsonObject(fields(event)).toString() + "\n").encodeToByteArray()
+
+    private fun fields(event: ILoggingEvent): Map<String, JsonPrimitive> =
+        buildMap {
+            put("time", JsonPrimitive(event.instant.toString()))
+            put("level", JsonPrimitive(event.level.toString()))
+            names.forEach { put(it, property(event, it)) }
+            put("logger", JsonPrimitive(event.loggerName))
+            put("message", JsonPrimitive(event.formattedMessage))
+            event.keyValuePairs.orEmpty().forEach { pair -> pair.value?.let { put(pair.key, primitive(it)) } }
+            event.throwableProxy?.let { put("error", JsonPrimitive(ThrowableProxyUtil.asString(it))) }
+        }
+
+    private fun property(
+        event: ILoggingEvent,
+        name: String,
+    ): JsonPrimitive = event.loggerContextVO.propertyMap[name]?.let(::JsonPrimitive) ?: JsonNull
+
+    private fun primitive(value: Any): JsonPrimitive =
+        when (value) {
+            is Number -> JsonPrimitive(value)
+            is Boolean -> JsonPrimitive(value)
+            else -> JsonPrimitive(value.toString())
+        }
+
+    private companion object {
+        val names =
+            listOf(LogContext.HOST, LogContext.GENERATION, LogContext.EPOCH, LogContext.PROGRAM, LogContext.CALL)
+    }
+}
--- a/entry/src/main/kotlin/sycamore/entry/CallHttp.kt
+++ b/entry/src/main/kotlin/sycamore/entry/CallHttp.kt
@@ -22,7 +22,8 @@
         respond: (CallId, Replies, Begun) -> Response,
     ): Response {
         val call = call(request, service, headers, asked)
-        val replies = Replies(call.id, daemon.call(service, call), call.timeLeft + GRACE)
+        request.trace.call = call
+        val replies = Replies(call.id, daemon.call(service, call), call.timeLeft + GRACE, request.trace)
         return when (val first = replies.next()) {
             is Begun -> respond(call.id, replies, first).named(first)
             is Refused -> Problem.response(first.refusal).named(first)
--- a/entry/src/main/kotlin/sycamore/entry/CallerRequest.kt
+++ b/entry/src/main/kotlin/sycamore/entry/CallerRequest.kt
@@ -10,6 +10,7 @@
     val http: Request,
     val caller: Caller,
     val configuration: Configuration,
+    val trace: RequestTrace,
     private val bodyLimit: Int,
 ) {
     /** Runs [use] with the headers, or refuses the request when one is wrong. */
--- a/entry/src/main/kotlin/sycamore/entry/EntryHttp.kt
+++ b/entry/src/main/kotlin/sycamore/entry/EntryHttp.kt
@@ -15,6 +15,7 @@
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 
 private val log = KotlinLogging.logger {}
 
@@ -27,7 +28,9 @@
     daemon: EntryDaemon,
     private val limits: AccountLimits,
     private val bodyBytes: Long,
+    private val meters: EntryMeters,
     clock: Clock = Clock.System,
+    private val time: TimeSource = TimeSource.Monotonic,
 ) {
     private val accounts = Accounts()
     private val calls = CallHttp(daemon)
@@ -42,28 +45,20 @@
             "/v1/models" bind methods(Method.GET to ModelsHttp::list),
             ProgramHttp.PATH bind methods(Method.POST to programs::start),
             "${ProgramHttp.PATH}/{id}" bind methods(Method.GET to programs::show, Method.DELETE to programs::end),
-            "${ServiceHttp.PREFIX}/{name}/{path:.*}" bind guarded { request -> authenticated(request, services::call) },
+            "${ServiceHttp.PREFIX}/{name}/{path:.*}" bind { request: Request ->
+                authenticated(request, services::call)
+            },
             "/{path:.*}" bind { request: Request -> unknownPath(request) },
         )
 
     private fun methods(vararg handlers: Pair<Method, CallerHandler>): HttpHandler {
         val known = handlers.toMap()
-        return guarded { request ->
+        return { request ->
             val handler = known[request.method]
             if (handler == null) wrongMethod(request, known.keys) else authenticated(request, handler)
         }
     }
 
-    private fun guarded(handler: HttpHandler): HttpHandler =
-        { request ->
-            try {
-                handler(request)
-            } catch (e: Exception) {
-                log.error(e) { "${request.method} ${request.uri.path} failed" }
-                Problem.response(Refusal(Outcome.UNKNOWN, HttpStatus.INTERNAL_ERROR, "the entry failed: ${e.message}"))
-            }
-        }
-
     private fun authenticated(
         request: Request,
         handler: CallerHandler,
@@ -72,9 +67,37 @@
             inForce.configuration.value
                 ?: return Problem.notRun(HttpStatus.UNAVAILABLE, "no configuration is in force yet")
         val caller = accounts.of(request, configuration) ?: return unauthorized()
-        return admitted(caller) { handler(CallerRequest(request, caller, configuration, bodyBytes.toInt())) }
+        val trace = RequestTrace(request.method.name, request.uri.path, caller.name, time)
+        val asked = CallerRequest(request, caller, configuration, trace, bodyBytes.toInt())
+        return measured(trace) { admitted(caller) { handler(asked) } }
+    }
+
+    /** Runs [run] and measures it until its response is written. */
+    private fun measured(
+        trace: RequestTrace,
+        run: () -> Response,
+    ): Response {
+        meters.begin()
+        val response = guarded(trace, run)
+        return onClosed(response) { meters.end(trace, response) }
     }
 
+    private fun guarded(
+        trace: RequestTrace,
+        run: () -> Response,
+    ): Response =
+        try {
+            run()
+        } catch (e: Exception) {
+            log.error(e) { "${trace.method} ${trace.path} failed" }
+            Problem.response(Refusal(Outcome.UNKNOWN, HttpStatus.INTERNAL_ERROR, "the entry failed: ${e.message}"))
+        }
+
+    private fun onClosed(
+        response: Response,
+        run: () -> Unit,
+    ): Response = response.body(ClosingStream(response.body.stream, run), response.body.length)
+
     private fun admitted(
         caller: Caller,
         run: () -> Response,
@@ -101,7 +124,7 @@
         try {
             val response = run()
             isHandedOn = true
-            return response.body(ClosingStream(response.body.stream, admission::close), response.body.length)
+            return onClosed(response, admission::close)
         } finally {
             if (!isHandedOn) admission.close()
         }
--- /dev/null
+++ b/entry/src/main/kotlin/sycamore/entry/EntryMeters.kt
@@ -0,0 +1,114 @@
+package sycamore.entry
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+import io.micrometer.core.instrument.MeterRegistry
+import io.micrometer.core.instrument.Timer
+import org.http4k.core.Response
+import sycamore.daemon.log.About
+import sycamore.daemon.log.at
+import sycamore.programs.Outcome
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.toJavaDuration
+
+private val log = KotlinLogging.logger {}
+
+/** Counts and times the requests of callers, and writes a line about each to the log. */
+internal class EntryMeters(
+    private val registry: MeterRegistry,
+) {
+    private val inProgress = AtomicInteger().also { registry.gauge(IN_PROGRESS, it) }
+
+    /** A request begins. */
+    fun begin() {
+        inProgress.incrementAndGet()
+    }
+
+    /** The request of [trace] has been answered by [response], which is written. */
+    fun end(
+        trace: RequestTrace,
+        response: Response,
+    ) {
+        inProgress.decrementAndGet()
+        val outcome = trace.outcome(response)
+        val service = trace.call?.service?.value ?: NO_SERVICE
+        record(REQUESTS, trace.elapsed, "service", service, "outcome", outcome)
+        trace.firstPart?.let { record(FIRST_PART, it, "service", service) }
+        if (outcome != RequestTrace.ANSWERED) refused(response, service, outcome)
+        write(trace, response, outcome)
+    }
+
+    private fun refused(
+        response: Response,
+        service: String,
+        outcome: String,
+    ) {
+        val status = response.status.code.toString()
+        registry.counter(REFUSALS, "service", service, "outcome", outcome, "status", status).increment()
+    }
+
+    private fun record(
+        name: String,
+        time: Duration,
+        vararg tags: String,
+    ) = Timer
+        .builder(name)
+        .tags(*tags)
+        .serviceLevelObjectives(*bounds)
+        .register(registry)
+        .record(time.toJavaDuration())
+
+    private fun write(
+        trace: RequestTrace,
+        response: Response,
+        outcome: String,
+    ) {
+        val about = About(trace.program ?: trace.call?.program, trace.call?.id)
+        val more =
+            mapOf(
+                "caller" to trace.caller,
+                "status" to response.status.code,
+                "outcome" to outcome,
+                "millis" to trace.elapsed.inWholeMilliseconds,
+            )
+        log.at(levels[outcome] ?: Level.DEBUG, about, more) {
+            "${trace.method} ${trace.path}: ${trace.cutOff?.detail ?: outcome}"
+        }
+    }
+
+    private companion object {
+        const val REQUESTS = "sycamore.requests"
+        const val FIRST_PART = "sycamore.first.part"
+        const val REFUSALS = "sycamore.refusals"
+        const val IN_PROGRESS = "sycamore.requests.in.progress"
+        const val NO_SERVICE = "none"
+
+        val levels =
+            mapOf(
+                Outcome.NOT_RUN.text to Level.INFO,
+                Outcome.FAILED.text to Level.INFO,
+                Outcome.UNKNOWN.text to Level.WARN,
+                RequestTrace.CUT_OFF to Level.WARN,
+            )
+
+        val bounds =
+            listOf(
+                5.milliseconds,
+                10.milliseconds,
+                25.milliseconds,
+                50.milliseconds,
+                100.milliseconds,
+                250.milliseconds,
+                500.milliseconds,
+                850.milliseconds,
+                2.seconds,
+                5.seconds,
+                10.seconds,
+                30.seconds,
+                60.seconds,
+            ).map { it.toJavaDuration() }.toTypedArray()
+    }
+}
--- a/entry/src/main/kotlin/sycamore/entry/EntryWorld.kt
+++ b/entry/src/main/kotlin/sycamore/entry/EntryWorld.kt
@@ -1,5 +1,7 @@
 package sycamore.entry
 
+import io.micrometer.core.instrument.MeterRegistry
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import sycamore.daemon.InForce
 import sycamore.daemon.Members
 import sycamore.links.Exchange
@@ -15,6 +17,7 @@
     val exchange: Exchange,
     val keys: KeyValue,
     val clock: Clock,
+    val metrics: MeterRegistry,
 ) {
     /** Collects the parts of an [EntryWorld]; those without a default have to be set. */
     class Builder internal constructor(
@@ -35,7 +38,10 @@
         /** Tells the time of day. */
         var clock: Clock = Clock.System
 
-        internal fun build() = EntryWorld(self, inForce, members, exchange, keys, clock)
+        /** Where the daemon registers its meters. */
+        var metrics: MeterRegistry = SimpleMeterRegistry()
+
+        internal fun build() = EntryWorld(self, inForce, members, exchange, keys, clock, metrics)
     }
 }
 
--- a/entry/src/main/kotlin/sycamore/entry/Main.kt
+++ b/entry/src/main/kotlin/sycamore/entry/Main.kt
@@ -10,9 +10,11 @@
 import sycamore.daemon.Http
 import sycamore.daemon.InForce
 import sycamore.daemon.Members
+import sycamore.daemon.Metrics
 import sycamore.daemon.Program
 import sycamore.daemon.Threads
 import sycamore.daemon.Tls
+import sycamore.daemon.log.LogContext
 import sycamore.links.LinkClient
 import sycamore.links.LinkServer
 import sycamore.model.Host
@@ -24,10 +26,13 @@
 fun main(args: Array<String>) {
     val entry = Program.settings("sycamore-entry", args, EntrySettings::read)
     val settings = entry.daemon
+    LogContext.host(settings.name)
     val tls = settings.tls?.let { Tls.of(it) { finding -> Program.fail(Program.EXIT_FAILED, finding) } }
     runBlocking(Dispatchers.Default) {
         val http = Http.client()
         val inForce = InForce()
+        val metrics = Metrics().apply { bindProcess(inForce) }
+        tls?.let(metrics::bindTls)
         val members = Members()
         val links = LinkClient(settings.name)
         val keys = HttpKeyValue(settings.keyValue, http, Threads.blocking)
@@ -38,6 +43,7 @@
                 this.members = members
                 this.keys = keys
                 exchange = links::exchange
+                this.metrics = metrics.registry
             }
         launch { inForce.follow(keys) }
         launch { daemon.run() }
@@ -55,8 +61,8 @@
                 )
             }
         }
-        val callers = EntryHttp(inForce, daemon, limits, settings.limits.bodyBytes)
-        val admin = AdminHttp(inForce).handler
+        val callers = EntryHttp(inForce, daemon, limits, settings.limits.bodyBytes, EntryMeters(metrics.registry))
+        val admin = AdminHttp(inForce, metrics).handler
         Http.serve(settings.http, routes(admin, callers.handler), settings.limits, tls, Problem::overLimit)
         CompletableDeferred<Unit>().await()
     }
--- a/entry/src/main/kotlin/sycamore/entry/Problem.kt
+++ b/entry/src/main/kotlin/sycamore/entry/Problem.kt
@@ -13,12 +13,15 @@
 
 /** Refusals as `application/problem+json`, with the error object that chat clients expect beside it. */
 internal object Problem {
+    /** The header that tells what became of a request that was refused. */
+    const val OUTCOME = "sycamore-outcome"
+
     /** The response for [refusal]. */
     fun response(refusal: Refusal): Response {
         val response =
             Response(Status(refusal.status, null))
                 .header("content-type", "application/problem+json")
-                .header("sycamore-outcome", refusal.outcome.text)
+                .header(OUTCOME, refusal.outcome.text)
                 .body(Json.encodeToString(body(refusal)))
         val wait = refusal.retryAfter ?: return response
         return response.header(
--- a/entry/src/main/kotlin/sycamore/entry/Replies.kt
+++ b/entry/src/main/kotlin/sycamore/entry/Replies.kt
@@ -31,6 +31,7 @@
     private val id: CallId,
     flow: Flow<Message>,
     private val silence: Duration,
+    private val trace: RequestTrace,
 ) : AutoCloseable {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val channel: ReceiveChannel<Message> =
@@ -49,14 +50,17 @@
 
     private fun checked(reply: Message): Message =
         when (reply) {
-            is Begun -> if (reply.id == id) reply else mismatch(reply.id)
+            is Begun -> if (reply.id == id) begun(reply) else mismatch(reply.id)
             is Part -> if (reply.id == id) part(reply) else mismatch(reply.id)
             is Whole -> if (reply.id == id) whole(reply) else mismatch(reply.id)
             is Refused -> reply
             else -> broken(HttpStatus.BAD_GATEWAY, "the home sent ${reply::class.simpleName} instead of an answer")
         }
 
+    private fun begun(begun: Begun): Message = begun.also { trace.program = it.program }
+
     private fun part(part: Part): Message {
+        trace.partCame()
         if (part.offset > received) return gap(part.offset)
         val known = (received - part.offset).coerceAtMost(part.bytes.size.toLong()).toInt()
         val fresh = if (known == 0) part else part.copy(offset = received, bytes = part.bytes.drop(known).toByteArray())
@@ -84,6 +88,11 @@
         return Refused(id, Refusal(Outcome.UNKNOWN, status, detail))
     }
 
+    /** Takes note that the answer is cut off because of [refusal]. */
+    fun cutOff(refusal: Refusal) {
+        trace.cutOff = refusal
+    }
+
     override fun close() = channel.cancel()
 
     private companion object {
--- a/entry/src/main/kotlin/sycamore/entry/ReplyStream.kt
+++ b/entry/src/main/kotlin/sycamore/entry/ReplyStream.kt
@@ -65,11 +65,17 @@
             when (val reply = replies.next()) {
                 is Part -> rendering.part(reply)
                 is Whole -> rendering.whole(reply).also { isWhole = true }
-                is Refused -> rendering.broken(reply.refusal).also { failure = reply.refusal }
+                is Refused -> broken(reply.refusal)
                 else -> ByteArray(0)
             }
     }
 
+    private fun broken(refusal: Refusal): ByteArray {
+        failure = refusal
+        replies.cutOff(refusal)
+        return rendering.broken(refusal)
+    }
+
     override fun close() = replies.close()
 
     companion object {
--- a/entry/src/test/kotlin/sycamore/entry/EntryFixture.kt
+++ b/entry/src/test/kotlin/sycamore/entry/EntryFixture.kt
@@ -1,5 +1,6 @@
 package sycamore.entry
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import kotlinx.coroutines.flow.Flow
 import org.http4k.core.Method
 import org.http4k.core.Request
@@ -42,6 +43,9 @@
     /** What the host was sent. */
     val sent = ArrayList<Message>()
 
+    /** The entry's metrics. */
+    val meters = SimpleMeterRegistry()
+
     private val inForce = InForce().also { it.offer(configuration) }
     private val members = Members().apply { update(listOf(ListedHost(host, place, Address("127.0.0.1", 1)))) }
     private val daemon =
@@ -56,7 +60,15 @@
         }
 
     /** The callers' interface. */
-    val http = EntryHttp(inForce, daemon, AccountLimits(entries = 1), bodyBytes = 1_000, FixedClock).handler
+    val http =
+        EntryHttp(
+            inForce,
+            daemon,
+            AccountLimits(entries = 1),
+            bodyBytes = 1_000,
+            EntryMeters(meters),
+            FixedClock,
+        ).handler
 
     companion object {
         private val place = PlaceName("svea-a")
--- a/entry/src/test/kotlin/sycamore/entry/EntryHttpTest.kt
+++ b/entry/src/test/kotlin/sycamore/entry/EntryHttpTest.kt
@@ -24,8 +24,10 @@
 import sycamore.model.ServiceName
 import sycamore.programs.Outcome
 import sycamore.programs.Refusal
+import java.io.IOException
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.seconds
 
@@ -237,6 +239,45 @@
         )
     }
 
+    @Test
+    fun `requests are timed and refusals counted by outcome`() {
+        answering.http(chat()).bodyString()
+        answering.http(chat().header("Sycamore-Turn", "x")).bodyString()
+        val cut =
+            replying { call ->
+                emit(begun(call))
+                emit(part(call, 0, "Go"))
+            }
+        assertFailsWith<IOException> { cut.http(chat(""","stream":true""")).bodyString() }
+
+        fun EntryFixture.count(
+            service: String,
+            outcome: String,
+        ) = meters
+            .get("sycamore.requests")
+            .tags("service", service, "outcome", outcome)
+            .timer()
+            .count()
+        assertEquals(1, answering.count("assist-llm", "answered"))
+        assertEquals(1, answering.count("none", "not-run"))
+        assertEquals(1, cut.count("assist-llm", "cut-off"))
+        assertEquals(
+            1.0,
+            cut.meters
+                .get("sycamore.refusals")
+                .tag("outcome", "cut-off")
+                .counter()
+                .count(),
+        )
+        assertEquals(
+            0.0,
+            answering.meters
+                .get("sycamore.requests.in.progress")
+                .gauge()
+                .value(),
+        )
+    }
+
     @Test
     fun `a body beyond the limit is refused`() {
         val detail = "found a body of more than 1000 bytes, expected at most that"
--- a/entry/src/test/kotlin/sycamore/entry/RepliesTest.kt
+++ b/entry/src/test/kotlin/sycamore/entry/RepliesTest.kt
@@ -9,6 +9,7 @@
 import sycamore.links.Refused
 import sycamore.links.Whole
 import sycamore.model.CallId
+import sycamore.model.CallerName
 import sycamore.programs.Answer
 import sycamore.programs.Outcome
 import sycamore.programs.Refusal
@@ -17,9 +18,11 @@
 import kotlin.test.assertIs
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
+import kotlin.time.TimeSource
 
 class RepliesTest {
     private val id = CallId("c1")
+    private val trace = RequestTrace("GET", "/", CallerName("workshop"), TimeSource.Monotonic)
 
     private fun part(
         offset: Long,
@@ -30,7 +33,7 @@
     private fun whole(length: Long) = Whole(id, length, Answer(200, "text/plain", ByteArray(0)))
 
     private fun read(vararg replies: Message): List<Message> {
-        val reader = Replies(id, flowOf(*replies), 1.minutes)
+        val reader = Replies(id, flowOf(*replies), 1.minutes, trace)
         return List(replies.size) { reader.next() }
     }
 
@@ -61,12 +64,12 @@
 
     @Test
     fun `an end without a last reply is no answer`() {
-        assertUnknown("the answer broke off", Replies(id, emptyFlow(), 1.minutes).next())
+        assertUnknown("the answer broke off", Replies(id, emptyFlow(), 1.minutes, trace).next())
     }
 
     @Test
     fun `a silent home ends the wait`() {
         val silent = flow<Message> { awaitCancellation() }
-        assertUnknown("no reply for 20ms", Replies(id, silent, 20.milliseconds).next(), status = 504)
+        assertUnknown("no reply for 20ms", Replies(id, silent, 20.milliseconds, trace).next(), status = 504)
     }
 }
--- a/host/src/main/kotlin/sycamore/host/HostWorld.kt
+++ b/host/src/main/kotlin/sycamore/host/HostWorld.kt
@@ -1,5 +1,7 @@
 package sycamore.host
 
+import io.micrometer.core.instrument.MeterRegistry
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import sycamore.daemon.InForce
 import sycamore.daemon.Members
 import sycamore.links.Exchange
@@ -17,6 +19,7 @@
     val engine: CallUpstream,
     val service: CallUpstream,
     val clock: Clock,
+    val metrics: MeterRegistry,
 ) {
     /** Collects the parts of a [HostWorld]; those without a default have to be set. */
     class Builder internal constructor(
@@ -43,7 +46,10 @@
         /** Tells the time of day. */
         var clock: Clock = Clock.System
 
-        internal fun build() = HostWorld(self, inForce, members, exchange, keys, engine, service, clock)
+        /** Where the daemon registers its meters. */
+        var metrics: MeterRegistry = SimpleMeterRegistry()
+
+        internal fun build() = HostWorld(self, inForce, members, exchange, keys, engine, service, clock, metrics)
     }
 }
 
--- a/host/src/main/kotlin/sycamore/host/Main.kt
+++ b/host/src/main/kotlin/sycamore/host/Main.kt
@@ -9,9 +9,11 @@
 import sycamore.daemon.Http
 import sycamore.daemon.InForce
 import sycamore.daemon.Members
+import sycamore.daemon.Metrics
 import sycamore.daemon.Program
 import sycamore.daemon.Threads
 import sycamore.daemon.Tls
+import sycamore.daemon.log.LogContext
 import sycamore.links.LinkClient
 import sycamore.links.LinkServer
 import sycamore.model.Host
@@ -22,10 +24,13 @@
 /** Runs the daemon beside an upstream. */
 fun main(args: Array<String>) {
     val settings = Program.settings("sycamore-host", args, DaemonSettings::read)
+    LogContext.host(settings.name)
     val tls = settings.tls?.let { Tls.of(it) { finding -> Program.fail(Program.EXIT_FAILED, finding) } }
     runBlocking(Dispatchers.Default) {
         val http = Http.client()
         val inForce = InForce()
+        val metrics = Metrics().apply { bindProcess(inForce) }
+        tls?.let(metrics::bindTls)
         val members = Members()
         val links = LinkClient(settings.name)
         val self = Host(settings.name, settings.place, settings.listen, Incarnation.random())
@@ -36,6 +41,7 @@
                 this.members = members
                 this.keys = keys
                 exchange = links::exchange
+                this.metrics = metrics.registry
                 engine = HttpEngine(http, Threads.blocking)::call
                 service = HttpService(http, Threads.blocking)::call
             }
@@ -44,7 +50,7 @@
         launch { members.follow(HttpHostList.at(settings.hostList, http, Threads.blocking)) }
         LinkServer.listen(settings.name, settings.listen, daemon::serve)
         launch { tls?.follow() }
-        Http.serve(settings.http, AdminHttp(inForce).handler, settings.limits, tls)
+        Http.serve(settings.http, AdminHttp(inForce, metrics).handler, settings.limits, tls)
         CompletableDeferred<Unit>().await()
     }
 }
