--- a/bench/src/main/kotlin/sycamore/bench/Main.kt
+++ b/bench/src/main/kotlin/sycamore/bench/Main.kt
@@ -2,7 +2,6 @@
 
 package sycamore.bench
 
-import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
 import sycamore.bench.history.HistoryCommand
@@ -19,12 +18,8 @@
 
 /** Load, policy, history and slope runs. */
 fun main(args: Array<String>) {
-    if (args.contentEquals(arrayOf("--version"))) {
-        println("sycamore-bench ${Program.VERSION}")
-        return
-    }
-    val parser = ArgParser("sycamore-bench")
+    val parser = Program.parser("sycamore-bench", args)
     parser.subcommands(*commands)
-    parser.parse(args)
+    parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
     exitProcess(0)
 }
--- a/daemon/src/main/kotlin/sycamore/daemon/Program.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/Program.kt
@@ -7,7 +7,10 @@
 import java.io.File
 import kotlin.system.exitProcess
 
-/** The command line that all daemons share. */
+/**
+ * The command line that all binaries share: `--help` and `--version` end with 0, a run that failed or found something
+ * wrong with [EXIT_FAILED], a wrong command line with [EXIT_MISUSE].
+ */
 object Program {
     /** Version of this build. */
     const val VERSION = "0.1.0"
@@ -18,20 +21,45 @@
     /** Exit code of a wrong command line. */
     const val EXIT_MISUSE = 2
 
+    private const val EXIT_CODES =
+        "Exit codes: 0 done, $EXIT_FAILED failed or found something wrong, $EXIT_MISUSE wrong command line"
+
     /** Reads the settings that `--settings FILE` names, or ends the process with every finding on standard error. */
     fun <T> settings(
         name: String,
         args: Array<String>,
         read: (file: String, text: String) -> Checked<T>,
     ): T {
+        val parser = parser(name, args)
+        val path by parser.option(ArgType.String, "settings", "s", "TOML file with the settings").required()
+        parser.parse(args)
+        return load(path, read)
+    }
+
+    /** A parser for the binary [name]; ends the process when [args] ask for the version. */
+    fun parser(
+        name: String,
+        args: Array<String>,
+    ): ArgParser {
         if (args.contentEquals(arrayOf("--version"))) {
             println("$name $VERSION")
             exitProcess(0)
         }
-        val parser = ArgParser(name)
-        val path by parser.option(ArgType.String, "settings", "s", "TOML file with the daemon's settings").required()
-        parser.parse(args)
-        return load(path, read)
+        return ArgParser(name).apply { endWith { message, code -> end(message, code) } }
+    }
+
+    private fun end(
+        message: String,
+        code: Int,
+    ): Nothing {
+        if (code != 0) fail(EXIT_MISUSE, message)
+        println("$message\n$EXIT_CODES")
+        exitProcess(0)
+    }
+
+    /** The library ends a wrong command line with a code of its own, and its setter is not public in Kotlin. */
+    private fun ArgParser.endWith(end: (String, Int) -> Nothing) {
+        javaClass.getMethod("setOutputAndTerminate\$kotlinx_cli", Function2::class.java).invoke(this, end)
     }
 
     private fun <T> load(
