Resolve homes that took each other over, and keep ended programs for late repeats

Change: a circle in the table of ended homes is claimed at its first home by compare-and-swap, and a home that was claimed itself claims nothing. Ended programs stay for ten minutes so that repeats find what became of their calls.

--- a/daemon/src/main/kotlin/sycamore/daemon/Directory.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/Directory.kt
@@ -15,33 +15,42 @@
 
     /** The last known successor of [home], or [home] itself. Asks nobody. */
     fun known(home: HomeId): HomeId {
+        val seen = LinkedHashSet<HomeId>()
         var last = home
-        while (true) last = successors[last] ?: return last
+        while (seen.add(last)) last = successors[last] ?: return last
+        return home
     }
 
     /** The home just before [last] in the known line of successors of [home], or null when [home] is [last]. */
     fun before(
         home: HomeId,
         last: HomeId,
-    ): HomeId? = generateSequence(home) { successors[it] }.firstOrNull { successors[it] == last }
+    ): HomeId? = generateSequence(home) { successors[it] }.take(MAX_HOPS).firstOrNull { successors[it] == last }
 
     /** [home] has ended, and [successor] serves its programs. */
     fun learn(
         home: HomeId,
         successor: HomeId,
     ) {
-        if (known(successor) != home) successors[home] = successor
+        if (home != successor) successors[home] = successor
     }
 
-    /** The last successor of [home] as recorded in the key-value service, or null when that does not answer. */
+    /**
+     * The last successor of [home] as recorded in the key-value service, or null when that does not answer.
+     *
+     * Two homes that took over each other at the same time have both ended. Then the first of such a circle in the
+     * order of their names is returned: whoever takes that one over has all of them.
+     */
     suspend fun current(home: HomeId): HomeId? {
-        var last = known(home)
-        while (true) {
+        val seen = LinkedHashSet<HomeId>()
+        var last = home
+        while (seen.add(last)) {
             val read = keys.get(HomeRecord.key(last)) as? Read.Found ?: return null
             val record = read.value?.value?.let(HomeRecord::decode) ?: return last
             learn(last, record.successor)
             last = record.successor
         }
+        return seen.dropWhile { it != last }.minBy { it.toString() }
     }
 
     /** The present home on [host]: null when the service does not answer or the host never had one. */
@@ -49,4 +58,8 @@
         val read = keys.get(HomeRecord.hostKey(host)) as? Read.Found ?: return null
         return read.value?.value?.let { HomeId.parse(it.decodeToString()) }
     }
+
+    private companion object {
+        const val MAX_HOPS = 100
+    }
 }
--- a/host/src/main/kotlin/sycamore/host/Evictions.kt
+++ b/host/src/main/kotlin/sycamore/host/Evictions.kt
@@ -14,7 +14,9 @@
 import sycamore.model.ProgramId
 import sycamore.programs.CacheEvicted
 import sycamore.programs.ProgramState
+import kotlin.time.Clock
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
 /** Evicts programs that have ended from every engine that may hold cache of them, until each has acknowledged it. */
@@ -24,6 +26,7 @@
     private val self: HostName,
     private val evictHere: suspend (EvictProgram) -> Message,
     private val configuration: () -> Configuration?,
+    private val clock: Clock,
 ) {
     private val wake = Channel<Unit>(Channel.CONFLATED)
 
@@ -73,11 +76,18 @@
 
     private fun forget(program: ProgramId) {
         if (journal.log.pending(setOf(program)).isNotEmpty()) return
-        val isFreed = journal.table.removeIf(program) { it.state.isFreed && it.running == null }
+        val isFreed = journal.table.removeIf(program) { it.running == null && isForgotten(it.state) }
         if (isFreed) journal.log.segments.free(program)
     }
 
+    /** A caller that repeats a call soon after the end has to find what became of it. */
+    private fun isForgotten(state: ProgramState): Boolean {
+        val endedAt = state.endedAt ?: return false
+        return state.isFreed && clock.now() - endedAt >= REPEAT_WINDOW
+    }
+
     private companion object {
+        val REPEAT_WINDOW: Duration = 10.minutes
         val PERIOD: Duration = 5.seconds
         val LIMIT: Duration = 5.seconds
     }
--- a/host/src/main/kotlin/sycamore/host/HomeParts.kt
+++ b/host/src/main/kotlin/sycamore/host/HomeParts.kt
@@ -27,7 +27,7 @@
     val retention = Retention(log, peers)
     val journal = Journal(log, retention)
     val cleaner = LogCleaner(log, world.keys)
-    val evictions = Evictions(journal, peers, world.self.name, evictHere, configuration)
+    val evictions = Evictions(journal, peers, world.self.name, evictHere, configuration, world.clock)
     val lives = Lives(journal, world.clock, evictions)
     val idle = IdlePrograms(journal, lives, configuration, world.time)
     val starts = Starts(journal, directory, peers, world.clock)
--- a/host/src/main/kotlin/sycamore/host/Takeovers.kt
+++ b/host/src/main/kotlin/sycamore/host/Takeovers.kt
@@ -14,6 +14,7 @@
 import sycamore.model.Epoch
 import sycamore.model.HomeId
 import sycamore.model.HostName
+import sycamore.platform.Item
 import sycamore.platform.KeyValue
 import sycamore.platform.Read
 import sycamore.platform.Revision
@@ -50,7 +51,9 @@
         if (other != null) return other.await()
         background.launch("taking over $lost") {
             try {
-                result.complete(attempt(order))
+                val reply = attempt(order)
+                if (reply is Declined) log.info { "${home().id} did not take over $lost: ${reply.reason}" }
+                result.complete(reply)
             } finally {
                 running.remove(lost)
                 result.complete(Declined("the takeover of $lost failed", RETRY))
@@ -68,6 +71,7 @@
         if (lost == successor.id) return Declined("$lost is alive")
         if (isFinished(lost)) return TakenOver(lost, successor.id)
         if (!order.isWilling && isAlive(lost)) return Declined("$lost is alive", RETRY)
+        if (hasEnded(successor)) return Declined("${successor.id} has ended itself", RETRY)
         val winner = claim(lost, successor) ?: return Declined("the key-value service does not answer", RETRY)
         if (winner != successor.id) return TakenOver(lost, winner)
         return recover(lost, successor)
@@ -89,12 +93,32 @@
             )
         return when (val write = keys.put(key, record.encode(), Revision.ABSENT, RECORD_LEASE)) {
             is Write.Taken -> successor.id
-            is Write.Conflict -> write.current?.value?.let { HomeRecord.decode(it).successor }
+            is Write.Conflict -> write.current?.let { claimCircle(lost, it, record) }
             is Write.NotSent -> null
             is Write.NotKnown -> (keys.get(key) as? Read.Found)?.value?.value?.let { HomeRecord.decode(it).successor }
         }
     }
 
+    /** Claims [lost] again if it stands in a circle of homes that took over each other. */
+    private suspend fun claimCircle(
+        lost: HomeId,
+        current: Item,
+        record: HomeRecord,
+    ): HomeId? {
+        val winner = HomeRecord.decode(current.value ?: return null).successor
+        if (winner == record.successor || directory.current(lost) != lost) return winner
+        val write = keys.put(current.key, record.encode(), current.version, RECORD_LEASE)
+        return if (write is Write.Taken) record.successor else null
+    }
+
+    /** Whether [own] was taken over without knowing it yet. */
+    private suspend fun hasEnded(own: Home): Boolean {
+        val read = keys.get(HomeRecord.key(own.id)) as? Read.Found ?: return false
+        val record = read.value?.value?.let(HomeRecord::decode) ?: return false
+        own.end(record.successor)
+        return true
+    }
+
     private suspend fun recover(
         lost: HomeId,
         successor: Home,
@@ -119,8 +143,10 @@
         val logs = ArrayList<LostLog>()
         val open = ArrayDeque(listOf(lost))
         val records = endedHomes() ?: return null
+        val seen = HashSet<HomeId>()
         while (open.isNotEmpty()) {
             val next = open.removeFirst()
+            if (!seen.add(next)) continue
             val sealed = seals.seal(next, successor) ?: return null
             if (next == lost || sealed.isFull) logs += sealed
             open += records.filterValues { it.successor == next }.keys
@@ -151,7 +177,7 @@
         val gaps = merged.sumOf { it.dropped.size }
         successor.adopt(merged)
         val lost = logs.first().home
-        log.info { "took over ${merged.size} programs of $lost, $gaps records after gaps were dropped" }
+        log.info { "${successor.id} took over ${merged.size} programs of $lost, $gaps records after gaps were dropped" }
     }
 
     /** Once the programs are committed in the log of [successor], what is left of the lost home is dropped. */
--- a/programs/src/main/kotlin/sycamore/programs/ProgramState.kt
+++ b/programs/src/main/kotlin/sycamore/programs/ProgramState.kt
@@ -47,15 +47,19 @@
     val lastAnswer: Digest? = null,
     val movedTo: HomeId? = null,
     val ended: String? = null,
+    val endedAt: Instant? = null,
 ) {
     /** Calls that were accepted and have not ended. */
     val unresolved: List<CallState> get() = calls.values.filter { it.result == null }
 
-    /** Whether it ended and no engine holds cache of it. */
+    /** Whether it ended and no engine holds cache of it. Its calls are still known then, for late repeats. */
     val isFreed: Boolean get() = ended != null && residents.isEmpty() && unresolved.isEmpty()
 
     /** The state after [record]. */
-    fun apply(record: Record): ProgramState = change(record).copy(version = version + 1)
+    fun apply(record: Record): ProgramState {
+        val next = change(record).copy(version = version + 1)
+        return if (next.ended != null && next.unresolved.isEmpty()) next.copy(history = persistentListOf()) else next
+    }
 
     private fun change(record: Record): ProgramState =
         when (record) {
@@ -69,7 +73,7 @@
             is CacheHeld -> copy(residents = residents.put(record.host, record.tokens))
             is CacheEvicted -> copy(residents = residents.remove(record.host))
             is ProgramMoved -> copy(movedTo = record.to)
-            is ProgramEnded -> copy(ended = record.reason)
+            is ProgramEnded -> copy(ended = record.reason, endedAt = record.at)
         }
 
     private fun accept(record: CallAccepted): ProgramState {
