--- a/bench/src/main/kotlin/sycamore/bench/history/HistoryCommand.kt
+++ b/bench/src/main/kotlin/sycamore/bench/history/HistoryCommand.kt
@@ -20,6 +20,8 @@
     private val faults by option(ArgType.String, "faults", description = "all, none, or names: $names").default("all")
     private val broken by option(ArgType.String, "break", description = "all: break each promise on purpose")
 
+    private val trace by option(ArgType.Boolean, "trace", description = "Show why calls were refused").default(false)
+
     override fun execute() {
         val result =
             HistoryRun(
@@ -45,6 +47,7 @@
         val violations = check(history)
         violations.take(SHOWN).forEach(::println)
         result.failures.take(SHOWN).forEach { println("uncaught: ${it.stackTraceToString()}") }
+        if (trace) showRefusals(history)
         println(Promise.entries.joinToString(" ") { "$it=${violations.count { v -> v.promise == it }}" })
         println(
             "history: calls=${history.calls.size} answered=${history.answered.size} faults=${result.faults} " +
@@ -59,6 +62,19 @@
         }
     }
 
+    private fun showRefusals(history: History) {
+        history.refused.filter { it.outcome == Outcome.UNKNOWN }.forEach { refusal ->
+            println("unknown:")
+            history.about(refusal.call).forEach { println("    $it") }
+            val from = history.calls.getValue(refusal.call).at
+            history.faultsWithin(from, refusal.at).forEach { println("    $it") }
+        }
+        history.refused
+            .groupingBy { "${it.outcome.text}: ${it.detail.replace(ids, "#")}" }
+            .eachCount()
+            .forEach { (why, count) -> println("$count $why") }
+    }
+
     private fun reportBroken(history: History) {
         val caught = Promise.entries.count { isCaught(it, history) }
         println("history: caught=$caught/${Promise.entries.size}")
@@ -79,6 +95,7 @@
     private companion object {
         const val DEFAULT_SECONDS = 120
         const val SHOWN = 5
+        val ids = Regex("[0-9a-f]{12,}|[0-9]+")
         val names = FaultKind.entries.joinToString(",") { it.text }
     }
 }
