--- a/bench/src/main/kotlin/sycamore/bench/Main.kt
+++ b/bench/src/main/kotlin/sycamore/bench/Main.kt
@@ -7,6 +7,7 @@
 import kotlinx.cli.Subcommand
 import sycamore.bench.history.HistoryCommand
 import sycamore.bench.load.LoadCommand
+import sycamore.bench.policy.DecisionCostCommand
 import sycamore.bench.policy.PolicyCommand
 import sycamore.daemon.Program
 import kotlin.system.exitProcess
@@ -17,6 +18,7 @@
             HistoryCommand(),
             LoadCommand(),
             PolicyCommand(),
+            DecisionCostCommand(),
         )
 
 /** Load, policy, history and slope runs. */
--- a/bench/src/main/kotlin/sycamore/bench/policy/PolicyRun.kt
+++ b/bench/src/main/kotlin/sycamore/bench/policy/PolicyRun.kt
@@ -14,9 +14,9 @@
 import sycamore.decisions.UpstreamLimits
 import sycamore.host.CacheFollower
 import sycamore.host.CacheState
-import sycamore.host.GateCall
 import sycamore.host.GateQueue
 import sycamore.host.GateRules
+import sycamore.host.QueuedCall
 import sycamore.host.Turn
 import sycamore.model.CallId
 import sycamore.standins.engine.CallEnd
@@ -202,13 +202,13 @@
     ): CallEnd? {
         val queue = engine.queue ?: return engine.runner.complete(call)
         val gateCall =
-            GateCall(
+            QueuedCall(
                 id = CallId(call.id),
                 program = call.program,
                 root = program.root,
                 caller = program.plan.caller,
                 promptTokens = call.promptTokens.toLong(),
-                outputTokens = call.answer.tokens.toLong(),
+                maxOutputTokens = MAX_OUTPUT,
                 isNew = program.turn == 0 && program.root == program.plan.id,
                 timeLeft = CALL_DEADLINE,
             )
@@ -243,5 +243,6 @@
     private companion object {
         val CALL_DEADLINE = 300.seconds
         const val CRASHES = 3
+        const val MAX_OUTPUT = 2_048L
     }
 }
--- a/decisions/src/main/kotlin/sycamore/decisions/Speed.kt
+++ b/decisions/src/main/kotlin/sycamore/decisions/Speed.kt
@@ -51,6 +51,9 @@
         capacity: Int,
     ): Duration = prefillPerToken * computedTokens.toDouble() + tokenTime * (outputTokens.toDouble() / capacity)
 
+    /** Tokens to expect of an answer of at most [bound] tokens, with some margin. */
+    fun expectedOutput(bound: Long): Long = minOf(bound, (outputTokens * OUTPUT_MARGIN).toLong())
+
     private fun gap(call: ServedCall): Duration = (call.whole - call.firstToken) / (call.outputTokens - 1).toDouble()
 
     private fun Duration.towards(sample: Duration): Duration = this + (sample - this) * SHARE
@@ -60,6 +63,7 @@
         val DEFAULT = Speed(20.milliseconds, 100.microseconds, 2_000.milliseconds, 128.0)
 
         private const val SHARE = 0.05
+        private const val OUTPUT_MARGIN = 1.5
         private const val MIN_COMPUTED = 256L
     }
 }
--- a/host/src/main/kotlin/sycamore/host/GatePrograms.kt
+++ b/host/src/main/kotlin/sycamore/host/GatePrograms.kt
@@ -5,10 +5,11 @@
 import sycamore.decisions.Residency
 import sycamore.decisions.Retention
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** What a gate knows of the programs that call its upstream, and of their caches. Guarded by its owner's lock. */
 internal class GatePrograms(
-    private val memoryTokens: Long,
+    private val memory: () -> Long,
 ) {
     private class AtGate(
         var running: Int = 0,
@@ -18,6 +19,8 @@
     )
 
     private val programs = HashMap<String, AtGate>()
+    private val runningPrograms = HashSet<String>()
+    private var held = HeldTokens(at = -HeldTokens.VALID, tokens = 0)
     private val attained = BoundedMap<String, Duration>(MAX_ROOTS)
     private var pauses = PauseEstimates()
 
@@ -35,30 +38,34 @@
     fun attained(root: String): Duration = attained[root] ?: Duration.ZERO
 
     /** Whether the cache holds most of [call]'s prompt. */
-    fun isResident(call: GateCall): Boolean = residency.tokensOf(call.program) * 2 >= call.promptTokens
+    fun isResident(call: QueuedCall): Boolean = residency.tokensOf(call.program) * 2 >= call.promptTokens
 
     fun begin(
-        call: GateCall,
+        call: QueuedCall,
+        tokens: Long,
         now: Duration,
     ) {
         val program = programs.getOrPut(call.program) { AtGate() }
         program.pausedSince?.let { pauses = pauses.observed(program.tool, now - it) }
         program.pausedSince = null
         program.running++
-        runningTokens += call.tokens
-        commit(program, call.tokens)
+        runningPrograms += call.program
+        runningTokens += tokens
+        commit(program, tokens)
     }
 
     fun finish(
-        call: GateCall,
+        call: QueuedCall,
+        tokens: Long,
         work: Duration,
         tool: String?,
         now: Duration,
     ) {
-        runningTokens -= call.tokens
+        runningTokens -= tokens
         attained[call.root] = attained(call.root) + work
-        val program = programs[call.program] ?: return
-        program.running--
+        val program = programs[call.program]
+        if (program == null || --program.running == 0) runningPrograms -= call.program
+        if (program == null) return
         program.tool = tool
         if (program.running == 0) program.pausedSince = now
     }
@@ -79,20 +86,30 @@
         return residency.tokensOf(program)
     }
 
-    /** Tokens of idle caches whose programs are expected back within [limit]. */
+    /**
+     * Tokens of idle caches whose programs are expected back within [limit]. The sum is at most [HeldTokens.VALID] old,
+     * so that its cost does not grow with the rate of calls.
+     */
     fun heldTokens(
         limit: Duration,
         now: Duration,
-    ): Long = Retention.heldTokens(paused(except = null), limit, now)
+    ): Long {
+        if (now - held.at >= HeldTokens.VALID) {
+            held = HeldTokens(now, Retention.heldTokens(paused(except = null), limit, now))
+        }
+        return minOf(held.tokens, idleTokens())
+    }
 
     /** Chooses idle caches that give way to [call] and forgets them. */
     fun makeRoomFor(
-        call: GateCall,
+        call: QueuedCall,
+        tokens: Long,
         now: Duration,
     ): List<PausedProgram> {
+        val memoryTokens = memory()
         if (memoryTokens == 0L) return emptyList()
         val idle = idleTokens()
-        val missing = call.tokens - residency.tokensOf(call.program)
+        val missing = tokens - residency.tokensOf(call.program)
         val needed = idle + runningTokens + missing - memoryTokens
         if (needed <= 0) return emptyList()
         val victims = Retention.victims(paused(call.program), needed + memoryTokens / SPARE, now)
@@ -100,8 +117,8 @@
         return victims
     }
 
-    private fun idleTokens(): Long =
-        residency.programs.entries.sumOf { (name, tokens) -> if ((programs[name]?.running ?: 0) > 0) 0L else tokens }
+    /** Tokens that the cache holds for programs without a call in progress. */
+    fun idleTokens(): Long = residency.total - runningPrograms.sumOf { residency.tokensOf(it) }
 
     private fun paused(except: String?): List<PausedProgram> =
         residency.programs.entries.mapNotNull { (name, tokens) ->
@@ -129,6 +146,17 @@
     }
 }
 
+/** A sum of tokens worth keeping, as of [at]. */
+internal class HeldTokens(
+    val at: Duration,
+    val tokens: Long,
+) {
+    companion object {
+        /** How long a sum is used. */
+        val VALID = 50.milliseconds
+    }
+}
+
 /** A map that forgets the entries read or written longest ago when it grows beyond [limit]. */
 internal class BoundedMap<K, V>(
     private val limit: Int,
@@ -140,6 +168,3 @@
         const val LOAD_FACTOR = 0.75f
     }
 }
-
-/** Tokens of memory that the call needs. */
-internal val GateCall.tokens: Long get() = promptTokens + outputTokens
--- a/host/src/main/kotlin/sycamore/host/GateQueue.kt
+++ b/host/src/main/kotlin/sycamore/host/GateQueue.kt
@@ -46,8 +46,8 @@
     time: TimeSource,
 ) {
     private class Waiter(
-        val call: GateCall,
-        var waiting: WaitingCall,
+        val call: QueuedCall,
+        val waiting: WaitingCall,
     ) {
         val granted = CompletableDeferred<Ticket>()
     }
@@ -55,8 +55,9 @@
     private val start = time.markNow()
     private val lock = Any()
     private val waiters = LinkedHashMap<CallId, Waiter>()
-    private val programs = GatePrograms(rules.limits.memoryTokens)
+    private val programs = GatePrograms { limits.memoryTokens }
     private val served = CallerShares()
+    private var limits = rules.limits
     private var queuedWork = Duration.ZERO
     private var running = 0
     private var speed = Speed.DEFAULT
@@ -64,7 +65,7 @@
     private val now: Duration get() = start.elapsedNow()
 
     /** Waits until [call] may go to the upstream, or until it is given up. */
-    suspend fun admit(call: GateCall): Turn {
+    suspend fun admit(call: QueuedCall): Turn {
         val waiter =
             synchronized(lock) {
                 val joining = join(call)
@@ -80,12 +81,13 @@
         return if (ticket != null) Turn.Granted(ticket) else refused(call, tooLate(call))
     }
 
-    private fun join(call: GateCall): Joining =
+    private fun join(call: QueuedCall): Joining =
         rules.overload.decide(call.isNew, waiters.size, expectedWait(), call.timeLeft)
 
-    private fun enqueue(call: GateCall): Waiter {
+    private fun enqueue(call: QueuedCall): Waiter {
         val now = now
         val isResident = programs.isResident(call)
+        val output = speed.expectedOutput(call.maxOutputTokens)
         val missing = (call.promptTokens - programs.residency.tokensOf(call.program)).coerceAtLeast(0)
         val waiting =
             WaitingCall(
@@ -97,8 +99,8 @@
                 since = now,
                 deadline = now + call.timeLeft,
                 isNew = call.isNew,
-                tokens = call.tokens,
-                work = speed.work(missing, call.outputTokens, rules.limits.capacity),
+                tokens = call.promptTokens + output,
+                work = speed.work(missing, output, limits.capacity),
             )
         queuedWork += waiting.work
         return Waiter(call, waiting).also { waiters[call.id] = it }
@@ -120,7 +122,7 @@
 
     /** The call to send now. While the first in order waits for memory, those that are cached go ahead of it. */
     private fun next(): WaitingCall? {
-        if (waiters.isEmpty() || running >= rules.limits.capacity) return null
+        if (waiters.isEmpty() || running >= limits.capacity) return null
         val waiting = waiters.values.map { it.waiting }
         val first = rules.order.next(waiting, served.recent(now), now) ?: return null
         if (isAdmitted(first)) return first
@@ -129,48 +131,51 @@
     }
 
     private fun isAdmitted(call: WaitingCall): Boolean {
-        val limits = rules.limits
-        val held =
-            if (call.isResident || limits.memoryTokens == 0L) {
-                0L
-            } else {
-                val limit =
-                    Retention.holdLimit(
-                        speed.prefillPerToken,
-                        limits.memoryTokens,
-                        running,
-                        limits.capacity,
-                        now - call.since,
-                    )
-                programs.heldTokens(limit, now)
-            }
+        val held = if (call.isResident || fitsBesideAll(call)) 0L else heldTokens(call)
         return limits.admit(call, GateLoad(running, programs.runningTokens, held)) is Admission.Admit
     }
 
+    private fun fitsBesideAll(call: WaitingCall): Boolean =
+        programs.runningTokens + programs.idleTokens() + call.tokens <= limits.memoryTokens
+
+    private fun heldTokens(call: WaitingCall): Long {
+        if (limits.memoryTokens == 0L) return 0
+        val limit =
+            Retention.holdLimit(
+                speed.prefillPerToken,
+                limits.memoryTokens,
+                running,
+                limits.capacity,
+                now - call.since,
+            )
+        return programs.heldTokens(limit, now)
+    }
+
     private fun send(waiter: Waiter) {
         val call = waiter.call
         val now = now
         queuedWork -= waiter.waiting.work
-        programs.makeRoomFor(call, now).forEach { evict(it.program, it.tokens, "memory is needed") }
-        programs.begin(call, now)
-        running++
         val waiting = waiter.waiting
+        programs.makeRoomFor(call, waiting.tokens, now).forEach { evict(it.program, it.tokens, "memory is needed") }
+        programs.begin(call, waiting.tokens, now)
+        running++
         val level = rules.order.level(waiting.attained)
         rules.decided(
             GateDecision.Sent(call.program, call.id, now - waiting.since, level, waiting.isResident, running),
         )
-        waiter.granted.complete(Ticket { served, tool -> finish(call, served, tool) })
+        waiter.granted.complete(Ticket { served, tool -> finish(waiter, served, tool) })
     }
 
     private fun finish(
-        call: GateCall,
+        waiter: Waiter,
         result: ServedCall?,
         tool: String?,
     ) = synchronized(lock) {
+        val call = waiter.call
         running--
         val work =
-            result?.let { speed.work(it.computedTokens, it.outputTokens, rules.limits.capacity) } ?: Duration.ZERO
-        programs.finish(call, work, tool, now)
+            result?.let { speed.work(it.computedTokens, it.outputTokens, limits.capacity) } ?: Duration.ZERO
+        programs.finish(call, waiter.waiting.tokens, work, tool, now)
         served.add(call.caller, work, now)
         if (result != null) {
             speed = speed.observed(result)
@@ -196,6 +201,13 @@
         rules.evict(program)
     }
 
+    /** The upstream has other limits from now on. */
+    fun update(changed: UpstreamLimits) =
+        synchronized(lock) {
+            limits = changed
+            dispatch()
+        }
+
     /** What is known of the upstream's cache. */
     val residency: Residency get() = synchronized(lock) { programs.residency }
 
@@ -215,31 +227,31 @@
             UpstreamState(
                 host = host,
                 place = place,
-                capacity = rules.limits.capacity,
+                capacity = limits.capacity,
                 running = running,
                 queued = waiters.size,
                 wait = expectedWait(),
                 tokenTime = speed.tokenTime,
                 prefillPerToken = speed.prefillPerToken,
-                memoryTokens = rules.limits.memoryTokens,
+                memoryTokens = limits.memoryTokens,
                 committedTokens = programs.committedTokens,
             )
         }
 
     private fun expectedWait(): Duration {
-        if (running < rules.limits.capacity && waiters.isEmpty()) return Duration.ZERO
-        return queuedWork + speed.callTime / rules.limits.capacity
+        if (running < limits.capacity && waiters.isEmpty()) return Duration.ZERO
+        return queuedWork + speed.callTime / limits.capacity
     }
 
     private fun refused(
-        call: GateCall,
+        call: QueuedCall,
         shed: Joining.Shed,
     ): Turn {
         rules.decided(GateDecision.Refused(call.program, call.id, shed.reason))
         return Turn.Refused(shed)
     }
 
-    private fun tooLate(call: GateCall) =
+    private fun tooLate(call: QueuedCall) =
         Joining.Shed("expected room within ${call.timeLeft}, found none", RETRY_AFTER_DEADLINE)
 
     private companion object {
--- a/host/src/main/kotlin/sycamore/host/GateCall.kt
+++ b/host/src/main/kotlin/sycamore/host/QueuedCall.kt
@@ -12,22 +12,22 @@
  * @property program tags its cache.
  * @property root the program that started this one, directly or through others; itself for one without a parent.
  * @property promptTokens of the whole prompt.
- * @property outputTokens to be expected.
+ * @property maxOutputTokens upper bound of the answer's tokens.
  * @property isNew whether it is its program's first call.
  * @property timeLeft until the caller's deadline.
  */
-data class GateCall(
+data class QueuedCall(
     val id: CallId,
     val program: String,
     val root: String,
     val caller: CallerName,
     val promptTokens: Long,
-    val outputTokens: Long,
+    val maxOutputTokens: Long,
     val isNew: Boolean,
     val timeLeft: Duration,
 )
 
-/** What became of a [GateCall]. */
+/** What became of a [QueuedCall]. */
 sealed interface Turn {
     /** It may go to the upstream now. [Ticket.close] has to be called afterwards, whatever happens. */
     data class Granted(
--- a/host/src/test/kotlin/sycamore/host/GateQueueTest.kt
+++ b/host/src/test/kotlin/sycamore/host/GateQueueTest.kt
@@ -45,12 +45,12 @@
         tokens: Long = 100,
         isNew: Boolean = false,
         timeLeft: Duration = 60.seconds,
-    ) = GateCall(CallId(id), program, program, CallerName("x"), tokens, 0, isNew, timeLeft)
+    ) = QueuedCall(CallId(id), program, program, CallerName("x"), tokens, 0, isNew, timeLeft)
 
     private fun served(millis: Int = 100) =
         ServedCall(computedTokens = 100, cachedTokens = 0, outputTokens = 10, 10.milliseconds, millis.milliseconds)
 
-    private suspend fun GateQueue.granted(call: GateCall): Ticket = assertIs<Turn.Granted>(admit(call)).ticket
+    private suspend fun GateQueue.granted(call: QueuedCall): Ticket = assertIs<Turn.Granted>(admit(call)).ticket
 
     @Test
     fun `no more calls than the capacity are in progress and none is lost`() =
--- a/links/src/main/kotlin/sycamore/links/Message.kt
+++ b/links/src/main/kotlin/sycamore/links/Message.kt
@@ -54,7 +54,12 @@
     val epoch: Epoch,
 )
 
-/** Home to gate: send this to the upstream. */
+/**
+ * Home to gate: send this to the upstream.
+ *
+ * @property isNew whether this is the first call of a program that no other program started.
+ * @property root the program that started this one, directly or through others; null for the program itself.
+ */
 @Serializable
 @SerialName("forward")
 data class Forward(
@@ -68,6 +73,8 @@
     val promptTokens: Long,
     val released: Long,
     val timeLeft: Duration,
+    val isNew: Boolean = false,
+    val root: ProgramId? = null,
 ) : Message
 
 /** First reply to [Call] and [Forward]: the upstream has begun to answer. */
--- a/standins/src/main/kotlin/sycamore/standins/engine/Engine.kt
+++ b/standins/src/main/kotlin/sycamore/standins/engine/Engine.kt
@@ -76,9 +76,12 @@
     private fun step(at: Duration) {
         now = maxOf(now, at)
         batch.advance(at)
-        load.add(now, EngineLoad(batch.queued, batch.running, cache.stored + cache.reserved))
+        load.add(now, currentLoad())
     }
 
+    private fun currentLoad() =
+        EngineLoad(batch.queued, batch.running, cache.stored + cache.reserved, spec.memoryTokens, orders.loaded(now))
+
     /** The call known as [id], or null. */
     @Synchronized
     fun find(id: String): RunningCall? = calls[id]
