--- a/bench/src/main/kotlin/sycamore/bench/Main.kt
+++ b/bench/src/main/kotlin/sycamore/bench/Main.kt
@@ -9,6 +9,8 @@
 import sycamore.bench.load.LoadCommand
 import sycamore.bench.policy.DecisionCostCommand
 import sycamore.bench.policy.PolicyCommand
+import sycamore.bench.slopes.IdleCommand
+import sycamore.bench.slopes.SlopesCommand
 import sycamore.daemon.Program
 import kotlin.system.exitProcess
 
@@ -16,9 +18,11 @@
     get() =
         arrayOf(
             HistoryCommand(),
+            IdleCommand(),
             LoadCommand(),
             PolicyCommand(),
             DecisionCostCommand(),
+            SlopesCommand(),
         )
 
 /** Load, policy, history and slope runs. */
