Wire queue, admission, breaker, eviction and placement into the daemons

Links: HostStatus gets the state of the host's upstream, with a default; AskWhy and Why tell what a gate decided about a program. Entries place programs whose first call cannot be repeated elsewhere; keyed calls keep the home that follows from their id. Gates learn an engine's size from its own load report.

--- a/entry/src/main/kotlin/sycamore/entry/EntryDaemon.kt
+++ b/entry/src/main/kotlin/sycamore/entry/EntryDaemon.kt
@@ -1,11 +1,11 @@
 package sycamore.entry
 
-import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.flowOf
 import sycamore.daemon.ClockTime
 import sycamore.daemon.ConfigurationCodec
 import sycamore.daemon.Directory
+import sycamore.daemon.HostLoads
 import sycamore.daemon.Peers
 import sycamore.links.AskConfiguration
 import sycamore.links.AskStatus
@@ -35,7 +35,10 @@
     private val inForce = world.inForce
     private val directory = Directory(world.keys)
     private val peers = Peers(world.self.name, world.members, world.exchange)
-    private val router = Router(world.members, peers, directory, ClockTime.of(world.clock))
+    private val time = ClockTime.of(world.clock)
+    private val loads = HostLoads(peers, inForce, time)
+    private val placement = HomePlacement(self.place, inForce, world.members, loads)
+    private val router = Router(world.members, peers, directory, time, placement::choose)
     private val retained = RetainedRecords()
 
     /** Runs [call] of [service] and yields its answer. */
@@ -71,7 +74,7 @@
         }
 
     /** Does the daemon's background work until cancelled. */
-    suspend fun run(): Unit = awaitCancellation()
+    suspend fun run(): Unit = loads.run()
 
     private fun retain(retain: Retain): Message {
         val isKept = retained.keep(retain.home, retain.committed, retain.records)
--- /dev/null
+++ b/entry/src/main/kotlin/sycamore/entry/HomePlacement.kt
@@ -0,0 +1,61 @@
+package sycamore.entry
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import sycamore.daemon.HostLoads
+import sycamore.daemon.InForce
+import sycamore.daemon.Members
+import sycamore.decisions.Network
+import sycamore.decisions.Placement
+import sycamore.decisions.PlacementAsk
+import sycamore.decisions.Placer
+import sycamore.links.Call
+import sycamore.model.HostName
+import sycamore.model.PlaceName
+import sycamore.model.Service
+
+private val log = KotlinLogging.logger {}
+
+/** Chooses a host as the home of a new program; null when none is known to be able to serve it. */
+internal typealias PlaceProgram = (service: Service, call: Call) -> HostName?
+
+/** Places new programs by expected wait, prefill and bytes across billed links. */
+internal class HomePlacement(
+    private val from: PlaceName,
+    private val inForce: InForce,
+    private val members: Members,
+    private val loads: HostLoads,
+) {
+    /** See [PlaceProgram]. */
+    fun choose(
+        service: Service,
+        call: Call,
+    ): HostName? {
+        val configuration = inForce.configuration.value ?: return null
+        val present = members.all.filterNot { it.leaving }.mapTo(HashSet()) { it.name }
+        val states = loads.of(service).filter { it.host in present }
+        val ask = ask(call)
+        val placer = Placer(Network(configuration.places, configuration.links), service.weights)
+        val placement = placer.place(ask, states)
+        log.debug { "call ${call.id} of ${service.name}: $placement" }
+        val best = (placement as? Placement.Chosen)?.best ?: return null
+        loads.expect(best.host, ask)
+        return best.host
+    }
+
+    private fun ask(call: Call): PlacementAsk {
+        val bytes =
+            call.request.body.size
+                .toLong()
+        return PlacementAsk(
+            from = from,
+            newTokens = bytes / Placer.BYTES_PER_TOKEN,
+            turns = EXPECTED_TURNS,
+            bytesPerTurn = bytes + ANSWER_BYTES,
+        )
+    }
+
+    private companion object {
+        const val EXPECTED_TURNS = 6.0
+        const val ANSWER_BYTES = 512L
+    }
+}
--- a/entry/src/main/kotlin/sycamore/entry/Router.kt
+++ b/entry/src/main/kotlin/sycamore/entry/Router.kt
@@ -28,6 +28,7 @@
     private val peers: Peers,
     private val directory: Directory,
     private val time: TimeSource.WithComparableMarks,
+    private val place: PlaceProgram = { _, _ -> null },
 ) {
     private val lostHomes = LostHomes(members, peers, directory)
 
@@ -37,7 +38,7 @@
         call: Call,
     ): Flow<Message> =
         flow {
-            val home = homeFor(service, call.program ?: call.parent, call.id)
+            val home = placed(service, call) ?: homeFor(service, call.program ?: call.parent, call.id)
             if (home == null) {
                 emit(Refused(call.id, noHome(call.service)))
             } else {
@@ -85,6 +86,18 @@
         return null
     }
 
+    /**
+     * Where a new program is best placed. A call that may be repeated by another entry has to reach the home that knows
+     * it from the first time, so that its home follows from its id alone.
+     */
+    private fun placed(
+        service: Service,
+        call: Call,
+    ): HostName? {
+        val isFree = call.program == null && call.parent == null && !call.mayRepeat
+        return if (isFree) place(service, call) else null
+    }
+
     private fun homeFor(
         service: Service,
         program: ProgramId?,
--- a/host/src/main/kotlin/sycamore/host/CallSender.kt
+++ b/host/src/main/kotlin/sycamore/host/CallSender.kt
@@ -73,6 +73,8 @@
             age = job.accepted.elapsedNow(),
             gate = target.incarnation,
             attachOnly = attachOnly,
+            isNew = job.turn == 1 && job.root == job.program,
+            root = job.root,
         )
     }
 
--- a/host/src/main/kotlin/sycamore/host/GateQueue.kt
+++ b/host/src/main/kotlin/sycamore/host/GateQueue.kt
@@ -57,7 +57,12 @@
     private val waiters = LinkedHashMap<CallId, Waiter>()
     private val programs = GatePrograms { limits.memoryTokens }
     private val served = CallerShares()
-    private var limits = rules.limits
+
+    /** What the upstream can take. */
+    @Volatile
+    var limits: UpstreamLimits = rules.limits
+        private set
+
     private var queuedWork = Duration.ZERO
     private var running = 0
     private var speed = Speed.DEFAULT
--- a/host/src/main/kotlin/sycamore/host/Gates.kt
+++ b/host/src/main/kotlin/sycamore/host/Gates.kt
@@ -21,6 +21,7 @@
     private val members: Members,
     private val peers: Peers,
     private val own: OwnGate,
+    private val isOwnAccepting: () -> Boolean = { true },
 ) {
     private val incarnations = ConcurrentHashMap<HostName, Incarnation>()
 
@@ -30,8 +31,8 @@
         excluded: Set<HostName>,
     ): HostName? {
         val hosts = service.upstreams.map { it.host }.filter { it !in excluded }
-        if (self.name in hosts) return self.name
-        return hosts.firstOrNull { isPresent(it) }
+        if (self.name in hosts && isOwnAccepting()) return self.name
+        return hosts.firstOrNull { it != self.name && isPresent(it) } ?: self.name.takeIf { it in hosts }
     }
 
     /** The run of the gate's daemon on [host], or null when it cannot be asked or leaves. */
--- a/host/src/main/kotlin/sycamore/host/HostDaemon.kt
+++ b/host/src/main/kotlin/sycamore/host/HostDaemon.kt
@@ -14,6 +14,7 @@
 import sycamore.links.AskConfiguration
 import sycamore.links.AskRoot
 import sycamore.links.AskStatus
+import sycamore.links.AskWhy
 import sycamore.links.BarCall
 import sycamore.links.Call
 import sycamore.links.ConfigurationText
@@ -36,6 +37,7 @@
 import sycamore.links.StartProgram
 import sycamore.links.TakeOver
 import sycamore.links.Unsupported
+import sycamore.links.Why
 import sycamore.model.HomeId
 import sycamore.model.HostName
 import sycamore.model.Incarnation
@@ -58,9 +60,20 @@
     private val peers = Peers(self.name, members, world.exchange)
     private val fences = Fences()
     private val retained = RetainedRecords()
+    private val upstream = OwnUpstream(world)
+    private val ledger = CallLedger<LedgerCall>(time = world.time)
     private val gate =
-        Gate(self, world.engine, world.service, world.evictCache, CallLedger(time = world.time), fences, background)
-    private val gates = Gates(self, members, peers, ::atOwnGate)
+        Gate(
+            self,
+            upstream.engine,
+            upstream.service,
+            world.evictCache,
+            ledger,
+            fences,
+            background,
+            upstream::admit,
+        )
+    private val gates = Gates(self, members, peers, ::atOwnGate) { upstream.isAccepting }
     private val collection = RetainedCollection(self.name, members, peers, retained)
     private val takeovers = Takeovers(self.name, world.keys, peers, directory, collection, background) { home }
     private val recovery = Recovery(self.name, world.keys, fences, directory, takeovers)
@@ -90,6 +103,7 @@
             is TakeOver -> flow { emit(takeovers.takeOver(message)) }
             is AskRoot, is Reserve, is Settle -> flow { emit(aboutRoot(message)) }
             is EvictProgram -> flow { emit(evict(message)) }
+            is AskWhy -> flowOf(Why(message.program, upstream.why(message.program)))
             else -> flowOf(Unsupported)
         }
 
@@ -97,6 +111,7 @@
     suspend fun run() {
         coroutineScope {
             launch { background.run() }
+            launch { upstream.run() }
             launch { recovery.loadFences() }
             launch { expireLedger() }
             while (true) {
@@ -181,12 +196,21 @@
     private suspend fun evict(evict: EvictProgram): Message {
         val (service, upstream) = inForce.configuration.value?.upstreamOf(self.name) ?: return Done
         if (service.kind != ServiceKind.MODEL) return Done
+        this.upstream.ended(evict.program)
         val isEvicted = gate.evict(upstream, evict.program)
         return if (isEvicted) Done else Declined("the engine did not acknowledge the eviction", RETRY)
     }
 
     private fun status() =
-        HostStatus(self, isLeaving, queued = 0, running = gate.calls, inForce.generation, home = home.id)
+        HostStatus(
+            self,
+            isLeaving,
+            queued = upstream.state().queued,
+            running = gate.calls,
+            inForce.generation,
+            home = home.id,
+            upstream = upstream.state(),
+        )
 
     private suspend fun expireLedger() {
         while (true) {
--- a/host/src/main/kotlin/sycamore/host/HostWorld.kt
+++ b/host/src/main/kotlin/sycamore/host/HostWorld.kt
@@ -24,6 +24,7 @@
     val time: TimeSource.WithComparableMarks,
     val evictCache: EvictCache,
     val metrics: MeterRegistry,
+    val reports: EngineReports,
 ) {
     /** Collects the parts of a [HostWorld]; those without a default have to be set. */
     class Builder internal constructor(
@@ -59,10 +60,26 @@
         /** Where the daemon registers its meters. */
         var metrics: MeterRegistry = SimpleMeterRegistry()
 
+        /** What engines tell about themselves. By default they cannot be asked. */
+        var reports: EngineReports = EngineReports()
+
         private fun time() = time ?: ClockTime.of(clock)
 
         internal fun build() =
-            HostWorld(self, inForce, members, exchange, keys, engine, service, clock, time(), evictCache, metrics)
+            HostWorld(
+                self,
+                inForce,
+                members,
+                exchange,
+                keys,
+                engine,
+                service,
+                clock,
+                time(),
+                evictCache,
+                metrics,
+                reports,
+            )
     }
 }
 
--- a/host/src/main/kotlin/sycamore/host/Main.kt
+++ b/host/src/main/kotlin/sycamore/host/Main.kt
@@ -45,6 +45,7 @@
                 engine = HttpEngine(http, Threads.blocking)::call
                 service = HttpService(http, Threads.blocking)::call
                 evictCache = HttpEviction(http, Threads.blocking)::evict
+                reports = EngineReports.over(http, Threads.blocking)
             }
         launch { inForce.follow(keys) }
         launch { daemon.run() }
--- a/links/src/main/kotlin/sycamore/links/Message.kt
+++ b/links/src/main/kotlin/sycamore/links/Message.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import sycamore.decisions.UpstreamState
 import sycamore.model.CallId
 import sycamore.model.CallerName
 import sycamore.model.Epoch
@@ -169,7 +170,7 @@
 @SerialName("unsupported")
 data object Unsupported : Message
 
-/** A host tells its peers about itself. */
+/** A host tells its peers about itself, and about the upstream beside it if there is one. */
 @Serializable
 @SerialName("status")
 data class HostStatus(
@@ -179,6 +180,7 @@
     val running: Int,
     val generation: Generation,
     val home: HomeId? = null,
+    val upstream: UpstreamState? = null,
 ) : Message
 
 /** Which hosts does the receiver serve as home for, and how is it? Answered by [HostStatus]. */
