Wake a caller's thread from the thread that reads the link

Cause: each reply went through one more pool thread between the link's reader and the thread that serves the caller. Change: entry/Replies collects unconfined, and takes a reply that is there already without an event loop.

--- a/entry/src/main/kotlin/sycamore/entry/Replies.kt
+++ b/entry/src/main/kotlin/sycamore/entry/Replies.kt
@@ -32,18 +32,22 @@
     flow: Flow<Message>,
     private val silence: Duration,
 ) : AutoCloseable {
-    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    /** Unconfined, so that the thread that reads the link wakes the caller's thread without another in between. */
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Unconfined)
     private val channel: ReceiveChannel<Message> =
         scope.produce(capacity = BUFFERED) { flow.collect { send(it) } }
     private var received = 0L
 
     /** The next reply: one [Begun] and any number of [Part], then one [Whole] or [Refused]. Blocks until there is one. */
     fun next(): Message {
-        val result = runBlocking { withTimeoutOrNull(silence) { channel.receiveCatching() } }
+        val result = ready() ?: runBlocking { withTimeoutOrNull(silence) { channel.receiveCatching() } }
         if (result == null) return broken(HttpStatus.GATEWAY_TIMEOUT, "no reply for $silence")
         return result.getOrNull()?.let(::checked) ?: broken(HttpStatus.BAD_GATEWAY, reason(result))
     }
 
+    /** The next reply if there is one already, which costs no event loop. */
+    private fun ready(): ChannelResult<Message>? = channel.tryReceive().takeIf { it.isSuccess }
+
     private fun reason(result: ChannelResult<Message>): String =
         result.exceptionOrNull()?.message?.let { "the answer broke off: $it" } ?: "the answer broke off"
 
