--- a/bench/src/main/kotlin/sycamore/bench/Main.kt
+++ b/bench/src/main/kotlin/sycamore/bench/Main.kt
@@ -9,6 +9,7 @@
 import sycamore.bench.load.LoadCommand
 import sycamore.bench.slopes.IdleCommand
 import sycamore.bench.slopes.SlopesCommand
+import sycamore.bench.soak.SoakCommand
 import sycamore.daemon.Program
 import kotlin.system.exitProcess
 
@@ -19,6 +20,7 @@
             IdleCommand(),
             LoadCommand(),
             SlopesCommand(),
+            SoakCommand(),
         )
 
 /** Load, policy, history and slope runs. */
--- a/bench/src/main/kotlin/sycamore/bench/load/Traffic.kt
+++ b/bench/src/main/kotlin/sycamore/bench/load/Traffic.kt
@@ -95,12 +95,12 @@
         tally: Tally,
         limit: () -> ValueTimeMark?,
     ) {
-        val target = targets[next.getAndIncrement().mod(targets.size)]
+        val first = next.getAndIncrement()
         val conversation = Conversation(shape, keepsHistory)
         var program: String? = null
         var callDue = due
         for (turn in 1..shape.turns) {
-            val result = client.call(target, conversation.ask(turn), program, turn)
+            val result = call(first, conversation.ask(turn), program, turn)
             if (limit()?.let { result.ended > it } == true) return
             if (!count(result, conversation.fault(turn, result), callDue, tally)) return
             conversation.answered(result.text)
@@ -110,6 +110,21 @@
         tally.completed(callDue - due)
     }
 
+    /** Calls the targets in turn, as a balancer does, until one accepts the connection. */
+    private suspend fun call(
+        first: Int,
+        body: ByteArray,
+        program: String?,
+        turn: Int,
+    ): CallResult {
+        var result = client.call(targets[first.mod(targets.size)], body, program, turn)
+        for (i in 1 until targets.size) {
+            if (result.failure != NOT_CONNECTED) return result
+            result = client.call(targets[(first + i).mod(targets.size)], body, program, turn)
+        }
+        return result
+    }
+
     private fun count(
         result: CallResult,
         fault: String?,
@@ -127,4 +142,8 @@
     override fun close() {
         timer.shutdownNow()
     }
+
+    private companion object {
+        const val NOT_CONNECTED = "ConnectException"
+    }
 }
