--- a/bench/src/main/kotlin/sycamore/bench/Main.kt
+++ b/bench/src/main/kotlin/sycamore/bench/Main.kt
@@ -7,6 +7,7 @@
 import kotlinx.cli.Subcommand
 import sycamore.bench.history.HistoryCommand
 import sycamore.bench.load.LoadCommand
+import sycamore.bench.policy.PolicyCommand
 import sycamore.bench.slopes.IdleCommand
 import sycamore.bench.slopes.SlopesCommand
 import sycamore.bench.soak.SoakCommand
@@ -19,6 +20,7 @@
             HistoryCommand(),
             IdleCommand(),
             LoadCommand(),
+            PolicyCommand(),
             SlopesCommand(),
             SoakCommand(),
         )
