Prove keys on links, bound them and drop silent ones

Cause: a link trusted whoever dialled, a silent connection hung its exchanges for good, one slow reader could fill memory, a failure in an answer ended the whole link, and an unknown message ended the reader.

Change: mutual challenge and response with rotating keys, a negotiated version, heartbeats by use, a window for each exchange, bounds on frames, exchanges, connections and writes, Bye for a clean end.

The fuzz test found two failures of the CBOR library on damaged input; both are protocol failures now.

--- a/entry/src/main/kotlin/sycamore/entry/Main.kt
+++ b/entry/src/main/kotlin/sycamore/entry/Main.kt
@@ -39,7 +39,7 @@
         launch { inForce.follow(keys) }
         launch { daemon.run() }
         launch { members.follow(HttpHostList.at(settings.hostList, http, Threads.blocking)) }
-        LinkServer.listen(settings.name, settings.listen, daemon::serve)
+        LinkServer.listen(settings.name, settings.listen, serve = daemon::serve)
         val callers = EntryHttp(this, inForce, daemon)
         val admin = AdminHttp(inForce).handler
         Http.serve(settings.http, routes(admin, callers.handler))
--- a/host/src/main/kotlin/sycamore/host/Main.kt
+++ b/host/src/main/kotlin/sycamore/host/Main.kt
@@ -40,7 +40,7 @@
         launch { inForce.follow(keys) }
         launch { daemon.run() }
         launch { members.follow(HttpHostList.at(settings.hostList, http, Threads.blocking)) }
-        LinkServer.listen(settings.name, settings.listen, daemon::serve)
+        LinkServer.listen(settings.name, settings.listen, serve = daemon::serve)
         Http.serve(settings.http, AdminHttp(inForce).handler)
         CompletableDeferred<Unit>().await()
     }
--- /dev/null
+++ b/links/src/main/kotlin/sycamore/links/AskingLink.kt
@@ -0,0 +1,138 @@
+package sycamore.links
+
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.withContext
+import sycamore.model.Address
+import java.io.IOException
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.TimeMark
+import kotlin.time.TimeSource
+
+/** The dialling end of a link: sends messages and hands their replies to those who asked. */
+internal class AskingLink(
+    pipe: Pipe,
+    private val to: Address,
+    private val bounds: LinkBounds,
+    private val time: TimeSource,
+) {
+    private val connection = Connection(pipe, bounds, time, pings = true) { exchanges.isNotEmpty() }
+    private val exchanges = ConcurrentHashMap<Long, Channel<Message>>()
+    private val nextStream = AtomicLong()
+
+    @Volatile
+    private var lastUse: TimeMark = time.markNow()
+
+    @Volatile
+    private var isLeaving = false
+
+    /** Whether new exchanges can begin. */
+    val isOpen: Boolean get() = connection.closed == null && !isLeaving
+
+    /** Whether nobody has used the link for long. */
+    val isUnused: Boolean get() = exchanges.isEmpty() && lastUse.elapsedNow() > bounds.idleClose
+
+    /** Runs the link until it is lost; then fails all exchanges on it. */
+    suspend fun run() {
+        try {
+            connection.run(::handle)
+        } finally {
+            val lost = LinkException("link to $to was lost: ${connection.closed}", sent = true)
+            exchanges.values.forEach { it.close(lost) }
+        }
+    }
+
+    /** Closes the link. */
+    fun close(reason: String) = connection.close(reason)
+
+    /** Sends [message] and yields the replies. */
+    fun exchange(message: Message): Flow<Message> =
+        flow {
+            val stream = nextStream.incrementAndGet()
+            val replies = Channel<Message>(bounds.window + 1)
+            exchanges[stream] = replies
+            lastUse = time.markNow()
+            try {
+                ask(stream, message)
+                var taken = 0
+                for (reply in replies) {
+                    emit(reply)
+                    if (++taken >= bounds.window / 2) {
+                        credit(stream, taken)
+                        taken = 0
+                    }
+                }
+            } finally {
+                abandon(stream)
+            }
+        }
+
+    private suspend fun ask(
+        stream: Long,
+        message: Message,
+    ) {
+        val bytes = FrameCodec.encodeMessage(message)
+        if (bytes.size > bounds.frameBytes - ENVELOPE_BYTES) {
+            throw LinkException("a message of ${bytes.size} bytes is too large", sent = false)
+        }
+        if (!isOpen) throw LinkException("link to $to is closed", sent = false)
+        connection.probe()
+        try {
+            connection.send(Frame.Ask(stream, bytes, bounds.window))
+        } catch (e: IOException) {
+            throw LinkException("link to $to was lost: ${e.message}", sent = true)
+        }
+    }
+
+    private suspend fun credit(
+        stream: Long,
+        count: Int,
+    ) {
+        if (!exchanges.containsKey(stream)) return
+        try {
+            connection.send(Frame.Credit(stream, count))
+        } catch (_: IOException) {
+            // The replies end with the link's failure.
+        }
+    }
+
+    private suspend fun abandon(stream: Long) {
+        lastUse = time.markNow()
+        if (exchanges.remove(stream) == null || connection.closed != null) return
+        withContext(NonCancellable) {
+            try {
+                connection.send(Frame.Cancel(stream))
+            } catch (_: IOException) {
+                // A lost link has no exchanges left to cancel.
+            }
+        }
+    }
+
+    private fun handle(frame: Frame) {
+        when (frame) {
+            is Frame.Reply -> reply(frame)
+            is Frame.End -> exchanges.remove(frame.stream)?.close()
+            is Frame.Fail -> {
+                val failure = LinkException("$to failed: ${frame.reason}", sent = frame.ran)
+                exchanges.remove(frame.stream)?.close(failure)
+            }
+            Frame.Bye -> isLeaving = true
+            else -> throw ProtocolException("expected a reply, found ${frame::class.simpleName}")
+        }
+        if (isLeaving && exchanges.isEmpty()) connection.close("the peer is leaving")
+    }
+
+    private fun reply(frame: Frame.Reply) {
+        val replies = exchanges[frame.stream] ?: return
+        val message = FrameCodec.decodeMessage(frame.message) ?: Unsupported
+        if (replies.trySend(message).isFailure) throw ProtocolException("more replies than the window allows")
+    }
+
+    private companion object {
+        /** What a frame adds to its message, at most. */
+        const val ENVELOPE_BYTES = 64
+    }
+}
--- /dev/null
+++ b/links/src/main/kotlin/sycamore/links/Connection.kt
@@ -0,0 +1,137 @@
+package sycamore.links
+
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.withContext
+import java.io.IOException
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeMark
+import kotlin.time.TimeSource
+
+/**
+ * One connection after its handshake: writes frames whole, reads them, and drops a peer that is silent or does not read.
+ *
+ * @param isActive whether exchanges are in progress, which makes heartbeats frequent.
+ * @param pings whether this end sends the heartbeats, which the other answers.
+ */
+internal class Connection(
+    private val pipe: Pipe,
+    private val bounds: LinkBounds,
+    private val time: TimeSource,
+    private val pings: Boolean,
+    private val isActive: () -> Boolean,
+) {
+    private val writing = Mutex()
+
+    @Volatile
+    private var lastReceived: TimeMark = time.markNow()
+
+    @Volatile
+    private var lastPing: TimeMark = time.markNow()
+
+    @Volatile
+    private var writeBegan: TimeMark? = null
+
+    /** Why the connection was closed, or null while it is open. */
+    @Volatile
+    var closed: String? = null
+        private set
+
+    /** Sends [frame] whole, even when the caller is cancelled meanwhile. Fails with [IOException] when closed. */
+    suspend fun send(frame: Frame) {
+        val bytes = FrameCodec.encode(frame)
+        require(
+            bytes.size <= bounds.frameBytes,
+        ) { "expected a frame of ${bounds.frameBytes} bytes, found ${bytes.size}" }
+        writing.withLock { withContext(NonCancellable) { write(bytes) } }
+    }
+
+    private suspend fun write(bytes: ByteArray) {
+        closed?.let { throw IOException(it) }
+        writeBegan = time.markNow()
+        try {
+            pipe.write(bytes)
+        } catch (e: Exception) {
+            close("the connection broke while writing: ${e.message}")
+            throw IOException(closed, e)
+        } finally {
+            writeBegan = null
+        }
+    }
+
+    /** Reads frames into [handle] until the connection is closed, then returns the reason. */
+    suspend fun run(handle: suspend (Frame) -> Unit): String =
+        coroutineScope {
+            val watchdog = launch { watch() }
+            try {
+                while (true) receive(handle)
+            } catch (e: CancellationException) {
+                close("this end was closed")
+                throw e
+            } catch (e: Exception) {
+                close(e.message ?: "the peer closed the connection")
+            } finally {
+                watchdog.cancel()
+            }
+            closed.orEmpty()
+        }
+
+    private suspend fun receive(handle: suspend (Frame) -> Unit) {
+        val frame = FrameCodec.decode(pipe.read(bounds.frameBytes))
+        lastReceived = time.markNow()
+        when (frame) {
+            Frame.Ping -> send(Frame.Pong)
+            Frame.Pong, Frame.Unknown -> Unit
+            else -> handle(frame)
+        }
+    }
+
+    /** Asks for a sign of life at once, for a first exchange after a pause. */
+    suspend fun probe() {
+        if (pings && lastReceived.elapsedNow() > bounds.activePing) ping()
+    }
+
+    /** Closes the connection; the first [reason] stays. */
+    fun close(reason: String) {
+        if (closed == null) closed = reason
+        pipe.close()
+    }
+
+    private suspend fun watch() {
+        while (true) {
+            val before = time.markNow()
+            delay(TICK)
+            if (before.elapsedNow() > TICK * 2) lastReceived = time.markNow()
+            checkPeer()
+            val pause = if (isActive()) bounds.activePing else bounds.idlePing
+            if (pings && writeBegan == null && lastPing.elapsedNow() >= pause) ping()
+        }
+    }
+
+    private fun checkPeer() {
+        val limit: Duration = if (isActive()) bounds.activeSilence else bounds.idleSilence
+        if (lastReceived.elapsedNow() > limit) close("the peer was silent for $limit")
+        val stuck = writeBegan?.elapsedNow() ?: Duration.ZERO
+        if (stuck > bounds.write) close("the peer took no byte for ${bounds.write}")
+    }
+
+    private suspend fun ping() {
+        lastPing = time.markNow()
+        try {
+            send(Frame.Ping)
+        } catch (_: IOException) {
+            // The reader ends by itself.
+        }
+    }
+
+    private companion object {
+        /** A watchdog that comes later than twice this was paused itself, and blames no peer. */
+        val TICK = 1.seconds
+    }
+}
--- a/links/src/main/kotlin/sycamore/links/Frame.kt
+++ b/links/src/main/kotlin/sycamore/links/Frame.kt
@@ -1,84 +1,161 @@
 package sycamore.links
 
-import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.ByteWriteChannel
-import io.ktor.utils.io.readByteArray
-import io.ktor.utils.io.readInt
-import io.ktor.utils.io.writeByteArray
-import io.ktor.utils.io.writeInt
-import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.cbor.CborLabel
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
-import sycamore.model.HostName
-import java.io.IOException
 
-/** What a connection carries: each frame is its length as four bytes, then CBOR. */
-@Serializable
-internal sealed interface Frame
+/**
+ * What a connection carries: each frame is its length as four bytes, then an [Envelope] as CBOR.
+ *
+ * A frame of an unknown kind is skipped, and so are unknown fields, so that versions can differ.
+ */
+internal sealed interface Frame {
+    /** A frame of a kind that this version does not know. */
+    data object Unknown : Frame
 
-/** First frame of each side. */
-@Serializable
-@SerialName("hello")
-internal data class Hello(
-    val version: Int,
-    val from: HostName,
-) : Frame
+    /** Begins exchange [stream] with a message, as CBOR. The asking side takes [window] replies before it says more. */
+    class Ask(
+        val stream: Long,
+        val message: ByteArray,
+        val window: Int,
+    ) : Frame
 
-/** Begins exchange [stream]. */
-@Serializable
-@SerialName("ask")
-internal data class Ask(
-    val stream: Long,
-    val message: Message,
-) : Frame
+    /** One reply of exchange [stream]. */
+    class Reply(
+        val stream: Long,
+        val message: ByteArray,
+    ) : Frame
 
-/** One reply of exchange [stream]. */
-@Serializable
-@SerialName("reply")
-internal data class Reply(
-    val stream: Long,
-    val message: Message,
-) : Frame
+    /** There are no more replies to exchange [stream]. */
+    data class End(
+        val stream: Long,
+    ) : Frame
 
-/** There are no more replies to exchange [stream]. */
-@Serializable
-@SerialName("end")
-internal data class End(
-    val stream: Long,
-) : Frame
+    /** Exchange [stream] failed. [ran] says whether the receiver may have acted on its message. */
+    data class Fail(
+        val stream: Long,
+        val ran: Boolean,
+        val reason: String,
+    ) : Frame
 
-/** The asking side no longer wants replies to exchange [stream]. */
-@Serializable
-@SerialName("cancel")
-internal data class Cancel(
-    val stream: Long,
-) : Frame
+    /** The asking side no longer wants replies to exchange [stream]. */
+    data class Cancel(
+        val stream: Long,
+    ) : Frame
 
-/** Protocol version of this build. */
-internal const val VERSION = 1
+    /** The asking side takes [count] more replies to exchange [stream]. */
+    data class Credit(
+        val stream: Long,
+        val count: Int,
+    ) : Frame
 
-/** Largest accepted frame, in bytes. */
-internal const val MAX_FRAME_BYTES = 8 * 1024 * 1024
+    /** Asks for [Pong]. */
+    data object Ping : Frame
 
-private val cbor =
-    Cbor {
-        ignoreUnknownKeys = true
-        alwaysUseByteString = true
-    }
+    /** Answers [Ping]. */
+    data object Pong : Frame
 
-internal suspend fun ByteWriteChannel.writeFrame(frame: Frame) {
-    val bytes = cbor.encodeToByteArray(frame)
-    writeInt(bytes.size)
-    writeByteArray(bytes)
-    flush()
+    /** The sender takes no new exchanges and closes the connection once those in progress have ended. */
+    data object Bye : Frame
 }
 
-internal suspend fun ByteReadChannel.readFrame(): Frame {
-    val size = readInt()
-    if (size !in 1..MAX_FRAME_BYTES) {
-        throw IOException("expected a frame of 1 to $MAX_FRAME_BYTES bytes, found $size")
+@Serializable
+internal class Envelope(
+    @CborLabel(1) val kind: Int,
+    @CborLabel(2) val stream: Long = 0,
+    @CborLabel(3) val body: ByteArray = NOTHING,
+    @CborLabel(4) val count: Int = 0,
+    @CborLabel(5) val text: String = "",
+) {
+    internal companion object {
+        val NOTHING = ByteArray(0)
     }
-    return cbor.decodeFromByteArray(readByteArray(size))
 }
+
+/** Encodes frames and messages. */
+internal object FrameCodec {
+    private const val ASK = 1
+    private const val REPLY = 2
+    private const val END = 3
+    private const val FAIL = 4
+    private const val CANCEL = 5
+    private const val CREDIT = 6
+    private const val PING = 7
+    private const val PONG = 8
+    private const val BYE = 9
+
+    /** Encodes what has no names in it but those of its types. */
+    val cbor =
+        Cbor {
+            ignoreUnknownKeys = true
+            alwaysUseByteString = true
+            encodeDefaults = false
+            preferCborLabelsOverNames = true
+        }
+
+    /** The bytes of [frame], without their length. */
+    fun encode(frame: Frame): ByteArray = cbor.encodeToByteArray(envelope(frame))
+
+    /** The frame in [bytes]; fails with [ProtocolException] if there is none. */
+    fun decode(bytes: ByteArray): Frame = frame(decodeOrFail<Envelope>(bytes))
+
+    /** The bytes of [message]. */
+    fun encodeMessage(message: Message): ByteArray = cbor.encodeToByteArray<Message>(message)
+
+    /** The message in [bytes], or null if this version does not know it. */
+    fun decodeMessage(bytes: ByteArray): Message? =
+        try {
+            decodeOrFail<Message>(bytes)
+        } catch (_: ProtocolException) {
+            null
+        }
+
+    /**
+     * Decodes a [T]; whatever is wrong with [bytes] is a [ProtocolException].
+     *
+     * The library fails in several ways on damaged input, one of them by recursion without end.
+     */
+    inline fun <reified T> decodeOrFail(bytes: ByteArray): T =
+        try {
+            cbor.decodeFromByteArray<T>(bytes)
+        } catch (e: RuntimeException) {
+            throw ProtocolException("expected CBOR of ${T::class.simpleName}, found ${e.message}")
+        } catch (_: StackOverflowError) {
+            throw ProtocolException("expected CBOR of ${T::class.simpleName}, found endless nesting")
+        }
+
+    private fun envelope(frame: Frame): Envelope =
+        when (frame) {
+            is Frame.Ask -> Envelope(ASK, frame.stream, frame.message, frame.window)
+            is Frame.Reply -> Envelope(REPLY, frame.stream, frame.message)
+            is Frame.End -> Envelope(END, frame.stream)
+            is Frame.Fail -> Envelope(FAIL, frame.stream, count = if (frame.ran) 1 else 0, text = frame.reason)
+            is Frame.Cancel -> Envelope(CANCEL, frame.stream)
+            is Frame.Credit -> Envelope(CREDIT, frame.stream, count = frame.count)
+            Frame.Ping -> Envelope(PING)
+            Frame.Pong -> Envelope(PONG)
+            Frame.Bye -> Envelope(BYE)
+            Frame.Unknown -> error("a frame of unknown kind cannot be sent")
+        }
+
+    private fun frame(envelope: Envelope): Frame =
+        when (envelope.kind) {
+            ASK -> Frame.Ask(envelope.stream, envelope.body, envelope.count)
+            REPLY -> Frame.Reply(envelope.stream, envelope.body)
+            END -> Frame.End(envelope.stream)
+            FAIL -> Frame.Fail(envelope.stream, envelope.count != 0, envelope.text)
+            CANCEL -> Frame.Cancel(envelope.stream)
+            CREDIT -> Frame.Credit(envelope.stream, envelope.count)
+            PING -> Frame.Ping
+            PONG -> Frame.Pong
+            BYE -> Frame.Bye
+            else -> Frame.Unknown
+        }
+}
+
+/** The peer sent what the protocol does not allow. */
+internal class ProtocolException(
+    message: String,
+) : Exception(message)
--- a/links/src/main/kotlin/sycamore/links/LinkClient.kt
+++ b/links/src/main/kotlin/sycamore/links/LinkClient.kt
@@ -1,37 +1,60 @@
 package sycamore.links
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.aSocket
-import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
-import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
-import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.flow
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
-import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.model.Address
 import sycamore.model.HostName
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.atomic.AtomicLong
+import kotlin.coroutines.CoroutineContext
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+private val log = KotlinLogging.logger {}
 
 /** Dials other daemons, one link to each, and sends messages over them. [exchange] is its [Exchange]. */
-class LinkClient(
-    private val self: HostName,
+class LinkClient internal constructor(
+    private val handshake: Handshake,
+    private val bounds: LinkBounds,
+    private val time: TimeSource,
+    context: CoroutineContext,
+    dial: Dial?,
 ) : AutoCloseable {
-    private val selector = SelectorManager(Dispatchers.IO)
-    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
-    private val links = ConcurrentHashMap<Address, DialledLink>()
+    /** A client of the daemon called [self], over TCP. */
+    constructor(
+        self: HostName,
+        keys: LinkKeys = LinkKeys.NONE,
+        bounds: LinkBounds = LinkBounds(),
+    ) : this(Handshake(self, keys), bounds, TimeSource.Monotonic, Dispatchers.IO, dial = null)
+
+    /** Bytes of all links. */
+    val traffic = LinkTraffic()
+
+    private val selector = if (dial == null) SelectorManager(Dispatchers.IO) else null
+    private val open: Dial = dial ?: dialTcp(selector!!, traffic)
+    private val scope = CoroutineScope(context + SupervisorJob(context[Job]))
+    private val links = ConcurrentHashMap<Address, AskingLink>()
     private val dialling = ConcurrentHashMap<Address, Mutex>()
 
+    init {
+        scope.launch { closeUnused() }
+    }
+
+    /** How many links are open. */
+    val linkCount: Int get() = links.size
+
     /** Sends [message] to the daemon at [to]; see [Exchange]. */
     fun exchange(
         to: Address,
@@ -42,100 +65,60 @@
             link.exchange(message).collect { emit(it) }
         }
 
-    private suspend fun linkTo(to: Address): DialledLink =
-        dialling.computeIfAbsent(to) { Mutex() }.withLock {
-            links[to]?.takeIf { it.isOpen } ?: dial(to).also { links[to] = it }
+    private suspend fun linkTo(to: Address): AskingLink {
+        links[to]?.takeIf { it.isOpen }?.let { return it }
+        return dialling.computeIfAbsent(to) { Mutex() }.withLock {
+            links[to]?.takeIf { it.isOpen } ?: dial(to)
         }
+    }
 
-    private suspend fun dial(to: Address): DialledLink {
+    private suspend fun dial(to: Address): AskingLink {
+        val pipe = connect(to)
+        val link = AskingLink(pipe, to, bounds, time)
+        links[to] = link
+        scope.launch {
+            link.run()
+            links.remove(to, link)
+        }
+        return link
+    }
+
+    private suspend fun connect(to: Address): Pipe {
+        var pipe: Pipe? = null
         try {
-            val socket = aSocket(selector).tcp().connect(to.ip, to.port)
-            return DialledLink(socket, to).also { it.start() }
+            val peer =
+                withTimeoutOrNull(bounds.handshake) {
+                    handshake.dial(open(to).also { pipe = it })
+                }
+            if (peer != null) return pipe!!
+            pipe?.close()
+            throw LinkException("cannot reach $to within ${bounds.handshake}", sent = false)
+        } catch (e: LinkException) {
+            throw e
         } catch (e: CancellationException) {
+            pipe?.close()
             throw e
         } catch (e: Exception) {
+            pipe?.close()
+            if (e is LinkRefusedException) log.warn { "no link to $to: ${e.message}" }
             throw LinkException("cannot reach $to: ${e.message}", sent = false)
         }
     }
 
+    private suspend fun closeUnused() {
+        while (true) {
+            delay(SWEEP)
+            links.values.filter { it.isUnused }.forEach { it.close("unused") }
+        }
+    }
+
     override fun close() {
+        links.values.forEach { it.close("this end was closed") }
         scope.cancel()
-        selector.close()
+        selector?.close()
     }
 
-    private inner class DialledLink(
-        private val socket: Socket,
-        private val to: Address,
-    ) {
-        private val reader = socket.openReadChannel()
-        private val writer = socket.openWriteChannel()
-        private val writing = Mutex()
-        private val nextStream = AtomicLong()
-        private val streams = ConcurrentHashMap<Long, Channel<Message>>()
-
-        @Volatile
-        var isOpen = true
-            private set
-
-        suspend fun start() {
-            writer.writeFrame(Hello(VERSION, self))
-            reader.readFrame() as Hello
-            scope.launch { readReplies() }
-        }
-
-        fun exchange(message: Message): Flow<Message> =
-            flow {
-                val stream = nextStream.incrementAndGet()
-                val replies = Channel<Message>(Channel.UNLIMITED)
-                streams[stream] = replies
-                try {
-                    if (!isOpen) throw LinkException("link to $to is closed", sent = false)
-                    write(Ask(stream, message))
-                    for (reply in replies) emit(reply)
-                } finally {
-                    abandon(stream)
-                }
-            }
-
-        private suspend fun abandon(stream: Long) {
-            if (streams.remove(stream) == null || !isOpen) return
-            withContext(NonCancellable) {
-                runCatching { write(Cancel(stream)) }
-            }
-        }
-
-        private suspend fun readReplies() {
-            try {
-                while (true) handle(reader.readFrame())
-            } catch (e: Exception) {
-                fail(e)
-            }
-        }
-
-        private fun handle(frame: Frame) {
-            when (frame) {
-                is Reply -> streams[frame.stream]?.trySend(frame.message)
-                is End -> streams.remove(frame.stream)?.close()
-                else -> Unit
-            }
-        }
-
-        private fun fail(cause: Exception) {
-            isOpen = false
-            links.remove(to, this)
-            socket.close()
-            val failure = LinkException("link to $to was lost: ${cause.message}", sent = true)
-            streams.values.forEach { it.close(failure) }
-        }
-
-        private suspend fun write(frame: Frame) {
-            try {
-                writing.withLock { writer.writeFrame(frame) }
-            } catch (e: CancellationException) {
-                throw e
-            } catch (e: Exception) {
-                throw LinkException("link to $to was lost: ${e.message}", sent = true)
-            }
-        }
+    private companion object {
+        val SWEEP = 5.seconds
     }
 }
--- a/links/src/main/kotlin/sycamore/links/LinkServer.kt
+++ b/links/src/main/kotlin/sycamore/links/LinkServer.kt
@@ -3,37 +3,37 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.ServerSocket
-import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
-import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
 import io.ktor.network.sockets.port
-import io.ktor.utils.io.ByteWriteChannel
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
-import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
-import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.sync.Mutex
-import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.model.Address
 import sycamore.model.HostName
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
 
 private val log = KotlinLogging.logger {}
 
-/** Accepts links from other daemons and answers their messages with [serve]. */
+/** Accepts links from other daemons and answers their messages. */
 class LinkServer private constructor(
-    private val self: HostName,
     private val socket: ServerSocket,
     private val selector: SelectorManager,
-    private val serve: Serve,
+    private val acceptor: LinkAcceptor,
+    private val maxConnections: Int,
 ) : AutoCloseable {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
 
+    /** Bytes of all links. */
+    val traffic = LinkTraffic()
+
     /** The TCP port that links are accepted on. */
     val port: Int = socket.port
 
@@ -41,21 +41,20 @@
         scope.launch {
             while (true) {
                 val accepted = socket.accept()
-                scope.launch { runLink(accepted) }
+                if (acceptor.connections >= maxConnections) {
+                    log.warn { "connection from ${accepted.remoteAddress} closed, since $maxConnections are open" }
+                    accepted.close()
+                } else {
+                    scope.launch { acceptor.run(Pipe.of(accepted, traffic)) }
+                }
             }
         }
     }
 
-    private suspend fun runLink(accepted: Socket) {
-        accepted.use {
-            try {
-                coroutineScope { AcceptedLink(accepted, this).run() }
-            } catch (e: CancellationException) {
-                throw e
-            } catch (e: Exception) {
-                log.debug(e) { "link closed" }
-            }
-        }
+    /** Takes no new exchanges, waits up to [within] for those in progress to end, then closes. */
+    suspend fun leave(within: Duration) {
+        acceptor.leave(within)
+        close()
     }
 
     override fun close() {
@@ -64,58 +63,93 @@
         selector.close()
     }
 
-    private inner class AcceptedLink(
-        accepted: Socket,
-        private val scope: CoroutineScope,
-    ) {
-        private val reader = accepted.openReadChannel()
-        private val writer: ByteWriteChannel = accepted.openWriteChannel()
-        private val writing = Mutex()
-        private val running = ConcurrentHashMap<Long, Job>()
-
-        suspend fun run() {
-            val hello = reader.readFrame() as Hello
-            write(Hello(VERSION, self))
-            try {
-                while (true) handle(reader.readFrame(), hello.from)
-            } finally {
-                scope.cancel()
-            }
-        }
-
-        private fun handle(
-            frame: Frame,
-            from: HostName,
-        ) {
-            when (frame) {
-                is Ask -> running[frame.stream] = scope.launch { answer(frame, from) }
-                is Cancel -> running.remove(frame.stream)?.cancel()
-                else -> log.warn { "expected an ask or a cancel from $from, found ${frame::class.simpleName}" }
-            }
-        }
-
-        private suspend fun answer(
-            ask: Ask,
-            from: HostName,
-        ) {
-            serve(from, ask.message).collect { write(Reply(ask.stream, it)) }
-            write(End(ask.stream))
-            running.remove(ask.stream)
-        }
-
-        private suspend fun write(frame: Frame) = writing.withLock { writer.writeFrame(frame) }
-    }
-
     companion object {
         /** Listens on [address] as the daemon called [self]. Port 0 takes a free one. */
         suspend fun listen(
             self: HostName,
             address: Address,
+            keys: LinkKeys = LinkKeys.NONE,
+            bounds: LinkBounds = LinkBounds(),
             serve: Serve,
         ): LinkServer {
             val selector = SelectorManager(Dispatchers.IO)
-            val socket = aSocket(selector).tcp().bind(address.ip, address.port) { reuseAddress = true }
-            return LinkServer(self, socket, selector, serve).also { it.start() }
+            val socket =
+                aSocket(selector).tcp().bind(address.ip, address.port) {
+                    reuseAddress = true
+                    backlogSize = BACKLOG
+                }
+            val acceptor = LinkAcceptor(Handshake(self, keys), bounds, TimeSource.Monotonic, serve)
+            return LinkServer(socket, selector, acceptor, bounds.connections).also { it.start() }
         }
+
+        private const val BACKLOG = 1_024
+    }
+}
+
+/** Runs the accepting ends of links, over whatever pipes they come. */
+internal class LinkAcceptor(
+    private val handshake: Handshake,
+    private val bounds: LinkBounds,
+    private val time: TimeSource,
+    private val serve: Serve,
+) {
+    private val links = ConcurrentHashMap.newKeySet<AnsweringLink>()
+    private val pipes = ConcurrentHashMap.newKeySet<Pipe>()
+
+    @Volatile
+    private var isLeaving = false
+
+    /** Connections that are open, those without a finished handshake too. */
+    val connections: Int get() = pipes.size
+
+    /** Runs the link over [pipe] until it is lost. */
+    suspend fun run(pipe: Pipe) {
+        pipes += pipe
+        try {
+            val peer = withTimeoutOrNull(bounds.handshake) { handshake.accept(pipe) }
+            if (peer ==
+                null
+            ) {
+                log.debug { "connection closed: no handshake within ${bounds.handshake}" }
+            } else {
+                run(pipe, peer)
+            }
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: LinkRefusedException) {
+            log.warn { "link refused: ${e.message}" }
+        } catch (e: Exception) {
+            log.debug { "connection closed before its handshake: ${e.message}" }
+        } finally {
+            pipes -= pipe
+            pipe.close()
+        }
+    }
+
+    private suspend fun run(
+        pipe: Pipe,
+        peer: Peer,
+    ) {
+        val link = AnsweringLink(pipe, peer.name, bounds, time, serve)
+        links += link
+        try {
+            if (isLeaving) link.leave()
+            val reason = link.run()
+            log.debug { "link from ${peer.name} closed: $reason" }
+        } finally {
+            links -= link
+        }
+    }
+
+    /** Takes no new exchanges and waits up to [within] for those in progress to end. */
+    suspend fun leave(within: Duration) {
+        isLeaving = true
+        links.forEach { it.leave() }
+        withTimeoutOrNull(within) { while (links.any { it.inProgress > 0 }) delay(POLL) }
+        links.forEach { it.close("this daemon has left") }
+    }
+
+    private companion object {
+        val POLL = 20.milliseconds
     }
 }
