--- a/host/src/main/kotlin/sycamore/host/Main.kt
+++ b/host/src/main/kotlin/sycamore/host/Main.kt
@@ -11,6 +11,7 @@
 import sycamore.daemon.Members
 import sycamore.daemon.Program
 import sycamore.daemon.Threads
+import sycamore.daemon.Tls
 import sycamore.links.LinkClient
 import sycamore.links.LinkServer
 import sycamore.model.Host
@@ -21,6 +22,7 @@
 /** Runs the daemon beside an upstream. */
 fun main(args: Array<String>) {
     val settings = Program.settings("sycamore-host", args, DaemonSettings::read)
+    val tls = settings.tls?.let { Tls.of(it) { finding -> Program.fail(Program.EXIT_FAILED, finding) } }
     runBlocking(Dispatchers.Default) {
         val http = Http.client()
         val inForce = InForce()
@@ -36,12 +38,14 @@
                 exchange = links::exchange
                 engine = HttpEngine(http, Threads.blocking)::call
                 service = HttpService(http, Threads.blocking)::call
+                evictCache = HttpEviction(http, Threads.blocking)::evict
             }
         launch { inForce.follow(keys) }
         launch { daemon.run() }
         launch { members.follow(HttpHostList.at(settings.hostList, http, Threads.blocking)) }
         LinkServer.listen(settings.name, settings.listen, serve = daemon::serve)
-        Http.serve(settings.http, AdminHttp(inForce).handler)
+        launch { tls?.follow() }
+        Http.serve(settings.http, AdminHttp(inForce).handler, settings.limits, tls)
         CompletableDeferred<Unit>().await()
     }
 }
--- a/links/src/main/kotlin/sycamore/links/AnsweringLink.kt
+++ b/links/src/main/kotlin/sycamore/links/AnsweringLink.kt
@@ -39,8 +39,8 @@
         val credit: MutableStateFlow<Int>,
     )
 
-    /** How many exchanges are in progress. */
-    val inProgress: Int get() = exchanges.size
+    /** Whether exchanges are in progress, or their last replies wait to be written. */
+    val isBusy: Boolean get() = exchanges.isNotEmpty() || connection.isWriting
 
     /** Runs the link until it is lost; then cancels what is still being answered. */
     suspend fun run(): String =
--- a/links/src/main/kotlin/sycamore/links/Connection.kt
+++ b/links/src/main/kotlin/sycamore/links/Connection.kt
@@ -1,13 +1,9 @@
 package sycamore.links
 
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.sync.Mutex
-import kotlinx.coroutines.sync.withLock
-import kotlinx.coroutines.withContext
 import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -27,7 +23,7 @@
     private val pings: Boolean,
     private val isActive: () -> Boolean,
 ) {
-    private val writing = Mutex()
+    private val writer = FrameWriter(pipe, time)
 
     @Volatile
     private var lastReceived: TimeMark = time.markNow()
@@ -35,40 +31,29 @@
     @Volatile
     private var lastPing: TimeMark = time.markNow()
 
-    @Volatile
-    private var writeBegan: TimeMark? = null
-
     /** Why the connection was closed, or null while it is open. */
     @Volatile
     var closed: String? = null
         private set
 
+    /** Whether frames wait to be written. */
+    val isWriting: Boolean get() = closed == null && writer.isBusy
+
     /** Sends [frame] whole, even when the caller is cancelled meanwhile. Fails with [IOException] when closed. */
     suspend fun send(frame: Frame) {
         val bytes = FrameCodec.encode(frame)
         require(
             bytes.size <= bounds.frameBytes,
         ) { "expected a frame of ${bounds.frameBytes} bytes, found ${bytes.size}" }
-        writing.withLock { withContext(NonCancellable) { write(bytes) } }
-    }
-
-    private suspend fun write(bytes: ByteArray) {
         closed?.let { throw IOException(it) }
-        writeBegan = time.markNow()
-        try {
-            pipe.write(bytes)
-        } catch (e: Exception) {
-            close("the connection broke while writing: ${e.message}")
-            throw IOException(closed, e)
-        } finally {
-            writeBegan = null
-        }
+        writer.write(bytes)
     }
 
     /** Reads frames into [handle] until the connection is closed, then returns the reason. */
     suspend fun run(handle: suspend (Frame) -> Unit): String =
         coroutineScope {
             val watchdog = launch { watch() }
+            val writing = launch { writer.run() }
             try {
                 while (true) receive(handle)
             } catch (e: CancellationException) {
@@ -78,6 +63,7 @@
                 close(e.message ?: "the peer closed the connection")
             } finally {
                 watchdog.cancel()
+                writing.cancel()
             }
             closed.orEmpty()
         }
@@ -86,20 +72,21 @@
         val frame = FrameCodec.decode(pipe.read(bounds.frameBytes))
         lastReceived = time.markNow()
         when (frame) {
-            Frame.Ping -> send(Frame.Pong)
+            Frame.Ping -> writer.tryWrite(Frame.Pong)
             Frame.Pong, Frame.Unknown -> Unit
             else -> handle(frame)
         }
     }
 
     /** Asks for a sign of life at once, for a first exchange after a pause. */
-    suspend fun probe() {
+    fun probe() {
         if (pings && lastReceived.elapsedNow() > bounds.activePing) ping()
     }
 
     /** Closes the connection; the first [reason] stays. */
     fun close(reason: String) {
         if (closed == null) closed = reason
+        writer.close(IOException(closed))
         pipe.close()
     }
 
@@ -110,24 +97,19 @@
             if (before.elapsedNow() > TICK * 2) lastReceived = time.markNow()
             checkPeer()
             val pause = if (isActive()) bounds.activePing else bounds.idlePing
-            if (pings && writeBegan == null && lastPing.elapsedNow() >= pause) ping()
+            if (pings && lastPing.elapsedNow() >= pause) ping()
         }
     }
 
     private fun checkPeer() {
         val limit: Duration = if (isActive()) bounds.activeSilence else bounds.idleSilence
         if (lastReceived.elapsedNow() > limit) close("the peer was silent for $limit")
-        val stuck = writeBegan?.elapsedNow() ?: Duration.ZERO
-        if (stuck > bounds.write) close("the peer took no byte for ${bounds.write}")
+        if (writer.stuckFor > bounds.write) close("the peer took no byte for ${bounds.write}")
     }
 
-    private suspend fun ping() {
+    private fun ping() {
         lastPing = time.markNow()
-        try {
-            send(Frame.Ping)
-        } catch (_: IOException) {
-            // The reader ends by itself.
-        }
+        writer.tryWrite(Frame.Ping)
     }
 
     private companion object {
--- a/links/src/main/kotlin/sycamore/links/LinkServer.kt
+++ b/links/src/main/kotlin/sycamore/links/LinkServer.kt
@@ -145,7 +145,7 @@
     suspend fun leave(within: Duration) {
         isLeaving = true
         links.forEach { it.leave() }
-        withTimeoutOrNull(within) { while (links.any { it.inProgress > 0 }) delay(POLL) }
+        withTimeoutOrNull(within) { while (links.any { it.isBusy }) delay(POLL) }
         links.forEach { it.close("this daemon has left") }
     }
 
--- a/links/src/main/kotlin/sycamore/links/Pipe.kt
+++ b/links/src/main/kotlin/sycamore/links/Pipe.kt
@@ -27,14 +27,22 @@
         return reader.readByteArray(size).also { traffic.received(size + LENGTH_BYTES) }
     }
 
-    /** Writes one frame. */
+    /** Writes one frame and sends it off. */
     suspend fun write(frame: ByteArray) {
+        put(frame)
+        flush()
+    }
+
+    /** Writes one frame, which may wait for [flush]. */
+    suspend fun put(frame: ByteArray) {
         writer.writeInt(frame.size)
         writer.writeByteArray(frame)
-        writer.flush()
         traffic.sent(frame.size + LENGTH_BYTES)
     }
 
+    /** Sends off what was written. */
+    suspend fun flush() = writer.flush()
+
     /** Ends both directions at once. */
     fun close() = onClose()
 
--- /dev/null
+++ b/links/src/test/kotlin/sycamore/links/FrameWriterTest.kt
@@ -0,0 +1,39 @@
+package sycamore.links
+
+import io.ktor.utils.io.ByteChannel
+import kotlinx.coroutines.async
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.runCurrent
+import kotlinx.coroutines.test.runTest
+import java.io.IOException
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
+
+class FrameWriterTest {
+    private fun pipe() = ByteChannel().let { Pipe(it, it) { } }
+
+    @Test
+    fun `frames arrive in the order of their writes`() =
+        runTest {
+            val pipe = pipe()
+            val writer = FrameWriter(pipe)
+            backgroundScope.launch { writer.run() }
+            val sent = (1L..1000L).map { Frame.End(it) }
+            launch { sent.forEach { writer.write(it) } }
+            assertEquals<List<Frame>>(sent, sent.map { FrameCodec.decode(pipe.read(1_000)) })
+        }
+
+    @Test
+    fun `a write that waits fails when the link closes`() =
+        runTest {
+            val writer = FrameWriter(pipe())
+            backgroundScope.launch { writer.run() }
+            val writes =
+                async { runCatching { repeat(100_000) { writer.write(Frame.Reply(1, ByteArray(1000))) } } }
+            runCurrent()
+            writer.close()
+            val cause = assertFailsWith<IOException> { writes.await().getOrThrow() }
+            assertEquals("the link is closed", cause.message)
+        }
+}
