--- a/bench/src/main/kotlin/sycamore/bench/Main.kt
+++ b/bench/src/main/kotlin/sycamore/bench/Main.kt
@@ -2,14 +2,15 @@
 
 package sycamore.bench
 
-import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
 import sycamore.bench.history.HistoryCommand
 import sycamore.bench.load.LoadCommand
+import sycamore.bench.policy.DecisionCostCommand
 import sycamore.bench.policy.PolicyCommand
 import sycamore.bench.slopes.IdleCommand
 import sycamore.bench.slopes.SlopesCommand
+import sycamore.bench.soak.SoakCommand
 import sycamore.daemon.Program
 import kotlin.system.exitProcess
 
@@ -20,17 +21,15 @@
             IdleCommand(),
             LoadCommand(),
             PolicyCommand(),
+            DecisionCostCommand(),
             SlopesCommand(),
+            SoakCommand(),
         )
 
 /** Load, policy, history and slope runs. */
 fun main(args: Array<String>) {
-    if (args.contentEquals(arrayOf("--version"))) {
-        println("sycamore-bench ${Program.VERSION}")
-        return
-    }
-    val parser = ArgParser("sycamore-bench")
+    val parser = Program.parser("sycamore-bench", args)
     parser.subcommands(*commands)
-    parser.parse(args)
+    parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
     exitProcess(0)
 }
--- a/entry/src/main/kotlin/sycamore/entry/Replies.kt
+++ b/entry/src/main/kotlin/sycamore/entry/Replies.kt
@@ -31,32 +31,40 @@
     private val id: CallId,
     flow: Flow<Message>,
     private val silence: Duration,
+    private val trace: RequestTrace,
 ) : AutoCloseable {
-    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    /** Unconfined, so that the thread that reads the link wakes the caller's thread without another in between. */
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Unconfined)
     private val channel: ReceiveChannel<Message> =
         scope.produce(capacity = BUFFERED) { flow.collect { send(it) } }
     private var received = 0L
 
     /** The next reply: one [Begun] and any number of [Part], then one [Whole] or [Refused]. Blocks until there is one. */
     fun next(): Message {
-        val result = runBlocking { withTimeoutOrNull(silence) { channel.receiveCatching() } }
+        val result = ready() ?: runBlocking { withTimeoutOrNull(silence) { channel.receiveCatching() } }
         if (result == null) return broken(HttpStatus.GATEWAY_TIMEOUT, "no reply for $silence")
         return result.getOrNull()?.let(::checked) ?: broken(HttpStatus.BAD_GATEWAY, reason(result))
     }
 
+    /** The next reply if there is one already, which costs no event loop. */
+    private fun ready(): ChannelResult<Message>? = channel.tryReceive().takeIf { it.isSuccess }
+
     private fun reason(result: ChannelResult<Message>): String =
         result.exceptionOrNull()?.message?.let { "the answer broke off: $it" } ?: "the answer broke off"
 
     private fun checked(reply: Message): Message =
         when (reply) {
-            is Begun -> if (reply.id == id) reply else mismatch(reply.id)
+            is Begun -> if (reply.id == id) begun(reply) else mismatch(reply.id)
             is Part -> if (reply.id == id) part(reply) else mismatch(reply.id)
             is Whole -> if (reply.id == id) whole(reply) else mismatch(reply.id)
             is Refused -> reply
             else -> broken(HttpStatus.BAD_GATEWAY, "the home sent ${reply::class.simpleName} instead of an answer")
         }
 
+    private fun begun(begun: Begun): Message = begun.also { trace.program = it.program }
+
     private fun part(part: Part): Message {
+        trace.partCame()
         if (part.offset > received) return gap(part.offset)
         val known = (received - part.offset).coerceAtMost(part.bytes.size.toLong()).toInt()
         val fresh = if (known == 0) part else part.copy(offset = received, bytes = part.bytes.drop(known).toByteArray())
@@ -84,6 +92,11 @@
         return Refused(id, Refusal(Outcome.UNKNOWN, status, detail))
     }
 
+    /** Takes note that the answer is cut off because of [refusal]. */
+    fun cutOff(refusal: Refusal) {
+        trace.cutOff = refusal
+    }
+
     override fun close() = channel.cancel()
 
     private companion object {
