--- a/bench/src/main/kotlin/sycamore/bench/slopes/CpuSlopes.kt
+++ b/bench/src/main/kotlin/sycamore/bench/slopes/CpuSlopes.kt
@@ -1,11 +1,9 @@
 package sycamore.bench.slopes
 
-import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
 import sycamore.daemon.InForce
 import sycamore.links.Message
-import sycamore.links.Part
 import sycamore.model.Epoch
 import sycamore.platform.KeyValueWire
 import sycamore.platform.ListedHost
@@ -16,8 +14,6 @@
 internal class CpuSlopes(
     private val count: Int,
 ) {
-    private val cbor = Cbor { alwaysUseByteString = true }
-
     /** All slopes of this kind. */
     fun measure(): List<Slope> =
         listOf(
@@ -49,7 +45,8 @@
     }
 
     private fun parts(size: Int): Double {
-        val parts: List<Message> = List(size) { Part(Samples.call(it), it.toLong(), "word ".encodeToByteArray()) }
+        val parts = Samples.parts(size)
+        val cbor = Samples.cbor
         return Meter.cpuMicros(count) { parts.map { cbor.decodeFromByteArray<Message>(cbor.encodeToByteArray(it)) } }
     }
 
--- a/bench/src/main/kotlin/sycamore/bench/slopes/Samples.kt
+++ b/bench/src/main/kotlin/sycamore/bench/slopes/Samples.kt
@@ -1,5 +1,8 @@
 package sycamore.bench.slopes
 
+import kotlinx.serialization.cbor.Cbor
+import sycamore.links.Message
+import sycamore.links.Part
 import sycamore.model.Address
 import sycamore.model.Budget
 import sycamore.model.CallId
@@ -40,6 +43,7 @@
 internal object Samples {
     private const val SEED = 7
     private const val VOCABULARY = 5_000
+    private const val SALT_CHARS = 16
     private const val TOKENS = 1_000L
     private val service = ServiceName("assist-llm")
     private val at = Instant.fromEpochSeconds(0)
@@ -48,8 +52,18 @@
 
     val home = HomeId(PlaceName("svea-a"), HostName("m0"), Incarnation("0123456789ab"))
 
-    fun host(number: Int) =
-        ListedHost(HostName("host-$number"), PlaceName("place-${number % 12}"), Address("10.1.2.3", 7_000 + number))
+    fun host(number: Int) = ListedHost(HostName("host-$number"), PlaceName("place-${number % 12}"), address(number))
+
+    private fun address(number: Int): Address {
+        val random = Random(number)
+        return Address("10.${random.nextInt(256)}.${random.nextInt(256)}.${random.nextInt(256)}", 7_400)
+    }
+
+    /** Encodes messages as links do. */
+    val cbor = Cbor { alwaysUseByteString = true }
+
+    /** Messages that carry one token each, of [count] calls. */
+    fun parts(count: Int): List<Message> = List(count) { Part(call(it), it.toLong(), "word ".encodeToByteArray()) }
 
     /** Words drawn from a vocabulary, about [bytes] long. */
     fun text(
@@ -98,7 +112,11 @@
         records.mapIndexed { i, record -> Numbered(i.toLong(), i.toLong(), Epoch.FIRST, record) }
 
     fun caller(number: Int) =
-        Caller(CallerName("caller-$number"), "salt$number", Digest.of("salt${number}key-$number".encodeToByteArray()))
+        Caller(
+            CallerName("caller-$number"),
+            call(number).value.take(SALT_CHARS),
+            Digest.of("$number".encodeToByteArray()),
+        )
 
     /** A configuration of [upstreams] model engines and [callers] accounts. */
     fun configuration(
