--- a/entry/src/main/kotlin/sycamore/entry/Main.kt
+++ b/entry/src/main/kotlin/sycamore/entry/Main.kt
@@ -48,7 +48,7 @@
         launch { inForce.follow(keys) }
         launch { daemon.run() }
         launch { members.follow(HttpHostList.at(settings.hostList, http, Threads.blocking)) }
-        LinkServer.listen(settings.name, settings.listen, daemon::serve)
+        LinkServer.listen(settings.name, settings.listen, serve = daemon::serve)
         launch { tls?.follow() }
         val limits = AccountLimits(entry.entries)
         launch {
--- a/links/src/test/kotlin/sycamore/links/FrameWriterTest.kt
+++ b/links/src/test/kotlin/sycamore/links/FrameWriterTest.kt
@@ -11,27 +11,29 @@
 import kotlin.test.assertFailsWith
 
 class FrameWriterTest {
+    private fun pipe() = ByteChannel().let { Pipe(it, it) { } }
+
     @Test
     fun `frames arrive in the order of their writes`() =
         runTest {
-            val channel = ByteChannel()
-            val writer = FrameWriter(channel, backgroundScope)
-            val sent = (1L..1000L).map { End(it) }
+            val pipe = pipe()
+            val writer = FrameWriter(pipe)
+            backgroundScope.launch { writer.run() }
+            val sent = (1L..1000L).map { Frame.End(it) }
             launch { sent.forEach { writer.write(it) } }
-            assertEquals(sent, sent.map { channel.readFrame() })
+            assertEquals<List<Frame>>(sent, sent.map { FrameCodec.decode(pipe.read(1_000)) })
         }
 
     @Test
     fun `a write that waits fails when the link closes`() =
         runTest {
-            val writer = FrameWriter(ByteChannel(), backgroundScope)
+            val writer = FrameWriter(pipe())
+            backgroundScope.launch { writer.run() }
             val writes =
-                async { runCatching { repeat(100_000) { writer.write(Reply(1, Part(id, 0, ByteArray(1000)))) } } }
+                async { runCatching { repeat(100_000) { writer.write(Frame.Reply(1, ByteArray(1000))) } } }
             runCurrent()
             writer.close()
             val cause = assertFailsWith<IOException> { writes.await().getOrThrow() }
             assertEquals("the link is closed", cause.message)
         }
-
-    private val id = sycamore.model.CallId("1")
 }
