--- a/bench/src/main/kotlin/sycamore/bench/Main.kt
+++ b/bench/src/main/kotlin/sycamore/bench/Main.kt
@@ -6,6 +6,7 @@
 import kotlinx.cli.Subcommand
 import sycamore.bench.history.HistoryCommand
 import sycamore.bench.load.LoadCommand
+import sycamore.bench.policy.DecisionCostCommand
 import sycamore.bench.policy.PolicyCommand
 import sycamore.bench.slopes.IdleCommand
 import sycamore.bench.slopes.SlopesCommand
@@ -20,6 +21,7 @@
             IdleCommand(),
             LoadCommand(),
             PolicyCommand(),
+            DecisionCostCommand(),
             SlopesCommand(),
             SoakCommand(),
         )
