Wake a link's reader when the link is closed

Change: links/Connection reads only while open, links/Pipe cancels its reader when it closes. Conclusion: closing a Ktor socket alone does not always end a read that waits.

--- a/bench/src/main/kotlin/sycamore/bench/slopes/CpuSlopes.kt
+++ b/bench/src/main/kotlin/sycamore/bench/slopes/CpuSlopes.kt
@@ -46,7 +46,9 @@
         val parts = Samples.parts(size)
         val cbor = Samples.cbor
         val messages = Message.serializer()
-        return Meter.cpuMicros(count) { parts.map { cbor.decodeFromByteArray(messages, cbor.encodeToByteArray(messages, it)) } }
+        return Meter.cpuMicros(
+            count,
+        ) { parts.map { cbor.decodeFromByteArray(messages, cbor.encodeToByteArray(messages, it)) } }
     }
 
     private companion object {
--- a/links/src/main/kotlin/sycamore/links/Connection.kt
+++ b/links/src/main/kotlin/sycamore/links/Connection.kt
@@ -55,7 +55,7 @@
             val watchdog = launch { watch() }
             val writing = launch { writer.run() }
             try {
-                while (true) receive(handle)
+                while (closed == null) receive(handle)
             } catch (e: CancellationException) {
                 close("this end was closed")
                 throw e
--- a/links/src/main/kotlin/sycamore/links/Pipe.kt
+++ b/links/src/main/kotlin/sycamore/links/Pipe.kt
@@ -12,6 +12,7 @@
 import io.ktor.utils.io.writeByteArray
 import io.ktor.utils.io.writeInt
 import sycamore.model.Address
+import java.io.IOException
 
 /** Two byte streams to one peer, cut into frames. One reader and one writer at a time. */
 internal class Pipe(
@@ -43,8 +44,11 @@
     /** Sends off what was written. */
     suspend fun flush() = writer.flush()
 
-    /** Ends both directions at once. */
-    fun close() = onClose()
+    /** Ends both directions at once. A [read] that waits fails: closing the socket alone does not always wake it. */
+    fun close() {
+        onClose()
+        reader.cancel(IOException("the connection was closed"))
+    }
 
     companion object {
         private const val LENGTH_BYTES = 4
