Collect the heap often enough between two measurements

Cause: the serial collector moves everything in each fourth full collection only, so that garbage of one slope counted in the next. Change: four collections before each reading, and one throwaway value before the first slope.

--- a/bench/src/main/kotlin/sycamore/bench/slopes/Meter.kt
+++ b/bench/src/main/kotlin/sycamore/bench/slopes/Meter.kt
@@ -4,7 +4,8 @@
 
 /** Measures memory and processor time within this process. */
 internal object Meter {
-    private const val COLLECTIONS = 2
+    /** The serial collector leaves some garbage in place; only each fourth full collection moves everything. */
+    private const val COLLECTIONS = 4
     private const val BATCHES = 5
     private const val NANOS_PER_MICRO = 1000.0
     private val memory = ManagementFactory.getMemoryMXBean()
--- a/bench/src/main/kotlin/sycamore/bench/slopes/StateSlopes.kt
+++ b/bench/src/main/kotlin/sycamore/bench/slopes/StateSlopes.kt
@@ -19,39 +19,29 @@
     private val members = listOf(200, 400, 800).map { it * scale }
 
     /** All slopes of this kind. */
-    fun measure(): List<Slope> = heap() + encoded()
+    fun measure(): List<Slope> {
+        table(programs.first(), 1, SHORT)
+        return heap() + encoded()
+    }
 
     private fun heap(): List<Slope> =
         listOf(
-            measure("program_state", "host", "bytes", "program", programs) { table(it, 1, SHORT) },
-            measure("turn_state", "host", "bytes", "turn", listOf(4, 8, 16)) {
+            Slope.measure("program_state", "host", "bytes", "program", programs) { table(it, 1, SHORT) },
+            Slope.measure("turn_state", "host", "bytes", "turn", listOf(4, 8, 16)) {
                 table(PROGRAMS, it, SHORT) / PROGRAMS
             },
-            measure("history_state", "host", "bytes", "byte of history", listOf(1_000, 4_000, 16_000)) {
+            Slope.measure("history_state", "host", "bytes", "byte of history", listOf(1_000, 4_000, 16_000)) {
                 table(PROGRAMS, 1, it / 2) / PROGRAMS
             },
-            measure("ledger_state", "host", "bytes", "ledger entry", programs.map { it * 10 }, ::ledger),
-            measure("member_state", "any", "bytes", "member", members) {
+            Slope.measure("ledger_state", "host", "bytes", "ledger entry", programs.map { it * 10 }, ::ledger),
+            Slope.measure("member_state", "any", "bytes", "member", members) {
                 Meter.heapBytes { Members().apply { update(List(it, Samples::host)) } }
             },
-            measure("configuration_state", "any", "bytes", "upstream", members) {
+            Slope.measure("configuration_state", "any", "bytes", "upstream", members) {
                 Meter.heapBytes { Samples.configuration(it, CALLERS) }
             },
         )
 
-    /** Measures a slope of heap. The first value is dropped, since garbage of the slope before still counts in it. */
-    private fun measure(
-        name: String,
-        role: String,
-        unit: String,
-        per: String,
-        sizes: List<Int>,
-        value: (Int) -> Double,
-    ): Slope {
-        value(sizes.first())
-        return Slope.measure(name, role, unit, per, sizes, value)
-    }
-
     private fun table(
         count: Int,
         turns: Int,
