Say what history an unfitting answer was given from

Cause: the soak had one answer to another history, and its kind did not tell which. Change: the error names the messages expected and found. Conclusion: the next soak run tells whether a turn was lost or repeated.

--- a/bench/src/main/kotlin/sycamore/bench/load/Conversation.kt
+++ b/bench/src/main/kotlin/sycamore/bench/load/Conversation.kt
@@ -32,7 +32,8 @@
     ): String? {
         if (result.failure != null) return result.failure
         val expected = "saw ${2 * turn - 1} messages "
-        return if (result.text.startsWith(expected)) null else "answer to another history"
+        if (result.text.startsWith(expected)) return null
+        return "answer to another history: expected '$expected', found '${result.text.take(expected.length)}'"
     }
 
     private fun message(
--- a/bench/src/test/kotlin/sycamore/bench/load/ConversationTest.kt
+++ b/bench/src/test/kotlin/sycamore/bench/load/ConversationTest.kt
@@ -29,7 +29,10 @@
     fun `an answer to another number of messages is a fault`() {
         val conversation = Conversation(shape, keepsHistory = true)
         assertNull(conversation.fault(2, result("saw 3 messages digest 1f")))
-        assertEquals("answer to another history", conversation.fault(2, result("saw 1 messages digest 1f")))
+        assertEquals(
+            "answer to another history: expected 'saw 3 messages ', found 'saw 1 messages '",
+            conversation.fault(2, result("saw 1 messages digest 1f")),
+        )
     }
 
     private fun result(text: String) = CallResult(null, TimeSource.Monotonic.markNow(), null, text, null)
