Measure commits, takeovers and repeated work in virtual time

Cause: nobody knew what keeping records at other hosts gains over commits alone. Change: sycamore-bench recovery; HostWorld.retainers (0 waits for commits).

--- a/bench/src/main/kotlin/sycamore/bench/Main.kt
+++ b/bench/src/main/kotlin/sycamore/bench/Main.kt
@@ -8,6 +8,7 @@
 import sycamore.bench.load.LoadCommand
 import sycamore.bench.policy.DecisionCostCommand
 import sycamore.bench.policy.PolicyCommand
+import sycamore.bench.recovery.RecoveryCommand
 import sycamore.bench.slopes.IdleCommand
 import sycamore.bench.slopes.SlopesCommand
 import sycamore.bench.soak.SoakCommand
@@ -21,6 +22,7 @@
             IdleCommand(),
             LoadCommand(),
             PolicyCommand(),
+            RecoveryCommand(),
             DecisionCostCommand(),
             SlopesCommand(),
             SoakCommand(),
--- a/bench/src/main/kotlin/sycamore/bench/history/Fleet.kt
+++ b/bench/src/main/kotlin/sycamore/bench/history/Fleet.kt
@@ -11,6 +11,7 @@
 import sycamore.entry.entryDaemon
 import sycamore.host.CallUpstream
 import sycamore.host.HostDaemon
+import sycamore.host.HostWorld
 import sycamore.host.hostDaemon
 import sycamore.links.Exchange
 import sycamore.links.Serve
@@ -65,6 +66,7 @@
     val exchange: (HostName, Exchange) -> Exchange = { _, exchange -> exchange },
     val keys: (HostName, KeyValue) -> KeyValue = { _, keys -> keys },
     val upstream: (HostName, CallUpstream) -> CallUpstream = { _, call -> call },
+    val host: HostWorld.Builder.() -> Unit = {},
 )
 
 /** The daemons of a run: the real code of entries and hosts, on fakes of all that is around them. */
@@ -174,6 +176,7 @@
                 this.clock = this@Fleet.clock
                 engine = tap.upstream(host.name, upstreams::engine)
                 service = tap.upstream(host.name, upstreams::order)
+                tap.host(this)
                 evictCache = { upstream, program -> upstreams.evict(upstream.host, program) }
             }
         scope.launch { home.run() }
--- a/bench/src/main/kotlin/sycamore/bench/recovery/PointWatch.kt
+++ b/bench/src/main/kotlin/sycamore/bench/recovery/PointWatch.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.flow.flow
 import sycamore.bench.history.Tap
 import sycamore.host.CallUpstream
+import sycamore.host.HostWorld
 import sycamore.host.UpstreamEvent
 import sycamore.links.Call
 import sycamore.links.Done
@@ -30,11 +31,16 @@
 internal class PointWatch(
     private val call: () -> CallId?,
     private val reached: (FailurePoint, HostName) -> Boolean,
+    configure: HostWorld.Builder.() -> Unit = {},
 ) {
     private var isAccepted = false
 
+    /** Segments of logs that were written. */
+    var segments = 0
+        private set
+
     /** Stands between the daemons and their surroundings. */
-    val tap = Tap(::exchange, ::keys, ::upstream)
+    val tap = Tap(::exchange, ::keys, ::upstream, configure)
 
     private suspend fun at(
         point: FailurePoint,
@@ -111,6 +117,7 @@
                 val isSegment = key.startsWith("log/") && isAccepted
                 if (isSegment) at(FailurePoint.RECORDS_SENT, host)
                 val write = inner.put(key, value, expected, lease)
+                if (key.startsWith("log/")) segments++
                 if (isSegment) at(FailurePoint.RECORDS_SAFE, host)
                 return write
             }
--- a/bench/src/main/kotlin/sycamore/bench/recovery/Trial.kt
+++ b/bench/src/main/kotlin/sycamore/bench/recovery/Trial.kt
@@ -14,6 +14,7 @@
 import sycamore.bench.history.LinkState
 import sycamore.bench.history.Network
 import sycamore.bench.history.Recorder
+import sycamore.bench.history.Tag
 import sycamore.bench.history.Upstreams
 import sycamore.model.HostName
 import sycamore.standins.FaultyKeyValue
@@ -30,11 +31,15 @@
  * One program on a small fleet in virtual time: a chat, a probed call on whose way something may fail, and another chat.
  *
  * @property probed the call that [onPoint] is about.
+ * @property retainers hosts that keep records of a home until they are committed.
+ * @property others programs that run beside it.
  * @property onPoint what happens when a point on its way is first reached, at the host whose code is there.
  */
 internal class Trial(
     private val seed: Long,
     private val probed: ProbedCall,
+    private val retainers: Int = DEFAULT_RETAINERS,
+    private val others: Int = 0,
     private val onPoint: Trial.(FailurePoint, HostName) -> Unit,
 ) {
     private val scheduler = TestCoroutineScheduler()
@@ -52,7 +57,7 @@
     /** The key-value service, whose faults can be switched. */
     val keys = FaultyKeyValue(KeyValueStore(time), time)
     private val seen = HashSet<FailurePoint>()
-    private val watch = PointWatch({ caller.probedId }, ::reached)
+    private val watch = PointWatch({ caller.probedId }, ::reached) { retainers = this@Trial.retainers }
 
     /** The daemons. */
     val fleet: Fleet = Fleet(scope, dispatcher, clock, time, keys, recorder, upstreams, network, watch.tap)
@@ -69,6 +74,7 @@
         val failures: List<Throwable>,
         val points: Set<FailurePoint>,
         val caller: TrialCaller,
+        val segments: Int,
     )
 
     private val clock: Clock
@@ -82,12 +88,13 @@
         scope.launch {
             fleet.start()
             delay(START_UP)
+            repeat(others) { number -> scope.launch { TrialCaller(fleet, recorder, probed, Tag("q$number")).run() } }
             caller.run()
         }
         scheduler.advanceTimeBy(length)
         recordCaches()
         scope.cancel()
-        return Result(recorder.history(), failures, seen, caller)
+        return Result(recorder.history(), failures, seen, caller, watch.segments)
     }
 
     /** Ends the daemon on [host] at once, and starts it again after [downtime]. */
@@ -152,5 +159,6 @@
     private companion object {
         val EPOCH = Instant.parse("2026-01-01T00:00:00Z")
         val START_UP = 3.seconds
+        const val DEFAULT_RETAINERS = 3
     }
 }
--- a/bench/src/main/kotlin/sycamore/bench/recovery/TrialCaller.kt
+++ b/bench/src/main/kotlin/sycamore/bench/recovery/TrialCaller.kt
@@ -41,8 +41,8 @@
     private val fleet: Fleet,
     private val recorder: Recorder,
     private val probed: ProbedCall,
+    private val tag: Tag = Tag("p1"),
 ) {
-    private val tag = Tag("p1")
     private var turn = 0
 
     /** The program once it is known. */
--- a/host/src/main/kotlin/sycamore/host/HomeParts.kt
+++ b/host/src/main/kotlin/sycamore/host/HomeParts.kt
@@ -18,7 +18,8 @@
     gates: Gates,
     evictHere: suspend (EvictProgram) -> Message,
 ) {
-    private val choice = RetainerChoice(world.self, world.members) { world.inForce.configuration.value }
+    private val choice =
+        RetainerChoice(world.self, world.members, world.retainers) { world.inForce.configuration.value }
     private val pace = CommitPace { world.members.all.size }
     private val log = HomeLog(id, world.keys, pace, world.time, choice::choose)
 
--- a/host/src/main/kotlin/sycamore/host/HostWorld.kt
+++ b/host/src/main/kotlin/sycamore/host/HostWorld.kt
@@ -23,6 +23,7 @@
     val clock: Clock,
     val time: TimeSource.WithComparableMarks,
     val evictCache: EvictCache,
+    val retainers: Int,
     val metrics: MeterRegistry,
     val reports: EngineReports,
 ) {
@@ -57,6 +58,9 @@
         /** Has an engine evict the cache of a program. By default nothing is acknowledged. */
         var evictCache: EvictCache = { _, _ -> false }
 
+        /** Hosts that keep records until they are committed; with none, every answer waits for its commit. */
+        var retainers: Int = Retention.NAMED
+
         /** Where the daemon registers its meters. */
         var metrics: MeterRegistry = SimpleMeterRegistry()
 
@@ -77,6 +81,7 @@
                 clock,
                 time(),
                 evictCache,
+                retainers,
                 metrics,
                 reports,
             )
--- a/host/src/main/kotlin/sycamore/host/RetainerChoice.kt
+++ b/host/src/main/kotlin/sycamore/host/RetainerChoice.kt
@@ -12,6 +12,7 @@
 internal class RetainerChoice(
     private val self: Host,
     private val members: Members,
+    private val count: Int,
     private val configuration: () -> Configuration?,
 ) {
     private var last: List<HostName> = emptyList()
@@ -24,13 +25,13 @@
         val regions = configuration()?.places.orEmpty().associate { it.name to it.region }
         val candidates = members.all.filter { it.name != self.name && !it.leaving }
         val names = candidates.map { it.name }.toSet()
-        if (last.size == Retention.NAMED && names.containsAll(last)) return last
+        if (last.size == count && names.containsAll(last)) return last
         val ordered = Rendezvous.order(self.name.value, candidates.map { it.name }).withIndex()
         val place = candidates.associate { it.name to it.place }
         last =
             ordered
                 .sortedWith(compareBy({ distance(place.getValue(it.value), regions) }, { it.index }))
-                .take(Retention.NAMED)
+                .take(count)
                 .map { it.value }
         return last
     }
