Say not-run for calls without a key whose home cannot be reached

Cause: the entry answered unknown for every call whose home it could not find, though a call without an idempotency key cannot have been sent before. Change: the callers' interface sets Call.mayRepeat from the key.

--- a/entry/src/main/kotlin/sycamore/entry/CallHttp.kt
+++ b/entry/src/main/kotlin/sycamore/entry/CallHttp.kt
@@ -46,6 +46,7 @@
         val caller = request.caller.name
         return Call(
             id = headers.key?.let { CallId.of(caller, headers.program, it) } ?: CallId.random(),
+            mayRepeat = headers.key != null,
             caller = caller,
             service = service.name,
             program = headers.program,
--- a/entry/src/test/kotlin/sycamore/entry/EntryHttpTest.kt
+++ b/entry/src/test/kotlin/sycamore/entry/EntryHttpTest.kt
@@ -171,6 +171,14 @@
         assertRefused(lost.http(chat()), 503, "unknown", "host h1 cannot be reached; the link was lost")
     }
 
+    @Test
+    fun `only a call without a key has surely not run when its host cannot be reached`() {
+        val unreachable = replying { throw LinkException("no route", sent = false) }
+        val detail = "host h1 cannot be reached; no route"
+        assertRefused(unreachable.http(chat()), 503, "not-run", detail)
+        assertRefused(unreachable.http(chat().header("Idempotency-Key", "k")), 503, "unknown", detail)
+    }
+
     @Test
     fun `a plain call that may not be repeated needs a program and a key`() {
         val request = request(Method.POST, "/services/order-app/deposits", "{}")
