Add bin/demo: two deployments, seven programs, one home killed between turns

The driver acts as a caller over HTTP: it keeps each conversation itself and compares it with the digest that the engine stand-in tells, checks turn numbers, sends two turns crossed, repeats each sale under its key and counts what the order services carried out.

--- a/bench/src/main/kotlin/sycamore/bench/Main.kt
+++ b/bench/src/main/kotlin/sycamore/bench/Main.kt
@@ -4,6 +4,7 @@
 
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
+import sycamore.bench.demo.DemoCommand
 import sycamore.bench.history.HistoryCommand
 import sycamore.bench.load.LoadCommand
 import sycamore.bench.policy.PolicyCommand
@@ -15,6 +16,7 @@
         arrayOf(
             HistoryCommand(),
             LoadCommand(),
+            DemoCommand(),
             PolicyCommand(),
         )
 
--- /dev/null
+++ b/bench/src/main/kotlin/sycamore/bench/demo/DemoCommand.kt
@@ -0,0 +1,58 @@
+@file:OptIn(ExperimentalCli::class)
+
+package sycamore.bench.demo
+
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.runBlocking
+import sycamore.daemon.Http
+import sycamore.daemon.Program
+import java.io.File
+import java.util.Locale
+import kotlin.time.DurationUnit
+import kotlin.time.TimeSource
+
+/** `sycamore-bench demo`: runs the demo's programs on two running fleets. `bin/demo` brings them up and down. */
+internal class DemoCommand : Subcommand("demo", "Run programs on two running fleets and check their answers") {
+    private val falgverket by argument(ArgType.String, description = "Directory of the fleet with conf/services")
+    private val kumasi by argument(ArgType.String, description = "Directory of the fleet with conf/kumasi")
+
+    override fun execute() {
+        val start = TimeSource.Monotonic.markNow()
+        val deployments = listOf(Deployment.falgverket(File(falgverket)), Deployment.kumasi(File(kumasi)))
+        val run =
+            DemoRun(deployments, Http.client()) { text ->
+                val at = start.elapsedNow().toDouble(DurationUnit.SECONDS)
+                println("%6.2f s  %s".format(Locale.ROOT, at, text))
+            }
+        val ended = runBlocking(Dispatchers.IO) { run.run() }
+        val reports = ended.filterIsInstance<Ended.Well>().map { it.report }
+        println("\n${DemoReport.programs(reports)}\n\n${DemoReport.memory(deployments)}\n")
+        val findings = findings(run, ended, reports)
+        if (findings.isNotEmpty()) Program.fail(Program.EXIT_FAILED, findings.joinToString("\n") { "demo: $it" })
+        println(summary(run, deployments, reports))
+    }
+
+    private fun findings(
+        run: DemoRun,
+        ended: List<Ended>,
+        reports: List<ProgramReport>,
+    ): List<String> {
+        val bad = ended.filterIsInstance<Ended.Badly>().map { "${it.name}: ${it.finding}" }
+        val kill = if (run.victim == null) listOf("no home was killed") else emptyList()
+        return bad + kill + run.wrongSales(reports)
+    }
+
+    private fun summary(
+        run: DemoRun,
+        deployments: List<Deployment>,
+        reports: List<ProgramReport>,
+    ): String {
+        val turns = reports.sumOf { it.turns }
+        val memory = DemoReport.largestDaemon(deployments)
+        return "demo: ok programs=${reports.size} turns=$turns killed=${run.victim?.origin?.host} " +
+            "repeats=${run.repeats} sales=${reports.size} largest-daemon-mib=$memory"
+    }
+}
--- /dev/null
+++ b/bench/src/main/kotlin/sycamore/bench/demo/Deployment.kt
@@ -0,0 +1,61 @@
+package sycamore.bench.demo
+
+import sycamore.bench.fleet.FleetLayout
+import java.io.File
+
+/**
+ * One deployment as its callers see it.
+ *
+ * @property sale path of the plain service whose calls may not be repeated.
+ * @property greeting what the agents of this deployment are told before each conversation.
+ * @property requests what callers say, one program each.
+ */
+internal data class Deployment(
+    val name: String,
+    val layout: FleetLayout,
+    val key: String,
+    val model: String,
+    val service: String,
+    val sale: String,
+    val greeting: String,
+    val requests: List<String>,
+) {
+    companion object {
+        /** The wheel workshops, on the fleet in [directory]. */
+        fun falgverket(directory: File) =
+            Deployment(
+                name = "falgverket",
+                layout = FleetLayout.load(directory),
+                key = "demo-key",
+                model = "wheel-7b",
+                service = "order-app",
+                sale = "/deposits",
+                greeting = "You book straightening, crack welding and powder coating of alloy wheels. ".repeat(8),
+                requests =
+                    listOf(
+                        "Two rims are bent after a kerb. Can they be straightened this week?",
+                        "One spoke has a crack of three centimetres. Is it worth welding?",
+                        "Four wheels, matt black powder coating, please.",
+                        "The tyre shop says the hub bore is worn. What do you need to see?",
+                    ),
+            )
+
+        /** The bedding renewal, on the fleet in [directory]. */
+        fun kumasi(directory: File) =
+            Deployment(
+                name = "kumasi",
+                layout = FleetLayout.load(directory),
+                key = "loft-key",
+                model = "loft-7b",
+                service = "depot-app",
+                sale = "/charges",
+                greeting = "You talk residents through dropping off sleeping bags for washing and repair. ".repeat(8),
+                requests =
+                    listOf(
+                        "I have three bags from the shelter, one with a torn zip.",
+                        "How long does a down bag stay at the wash line?",
+                        "My family's two bags were dropped off on Monday. Are they dry?",
+                    ),
+            )
+    }
+}
--- a/entry/src/test/kotlin/sycamore/entry/ExampleFilesTest.kt
+++ b/entry/src/test/kotlin/sycamore/entry/ExampleFilesTest.kt
@@ -58,8 +58,10 @@
         assertTrue(entries.size >= 2 && hosts.size >= 3, "$entries $hosts")
         entries.forEach { load(it, EntrySettings::read) }
         hosts.forEach { load(it, DaemonSettings::read) }
-        load("services/${FleetFile.NAME}", FleetFile::read)
-        (files("services") - "services/${FleetFile.NAME}").forEach { load(it, ServiceFile::read) }
+        listOf("services", "kumasi").forEach { directory ->
+            load("$directory/${FleetFile.NAME}", FleetFile::read)
+            (files(directory) - "$directory/${FleetFile.NAME}").forEach { load(it, ServiceFile::read) }
+        }
         load("standins.toml", StandinSettings::read)
     }
 
