--- a/host/src/main/kotlin/sycamore/host/Main.kt
+++ b/host/src/main/kotlin/sycamore/host/Main.kt
@@ -44,6 +44,7 @@
                 this.metrics = metrics.registry
                 engine = HttpEngine(http, Threads.blocking)::call
                 service = HttpService(http, Threads.blocking)::call
+                evictCache = HttpEviction(http, Threads.blocking)::evict
             }
         launch { inForce.follow(keys) }
         launch { daemon.run() }
