--- a/bench/src/main/kotlin/sycamore/bench/Main.kt
+++ b/bench/src/main/kotlin/sycamore/bench/Main.kt
@@ -7,9 +7,11 @@
 import sycamore.bench.demo.DemoCommand
 import sycamore.bench.history.HistoryCommand
 import sycamore.bench.load.LoadCommand
+import sycamore.bench.policy.DecisionCostCommand
 import sycamore.bench.policy.PolicyCommand
 import sycamore.bench.slopes.IdleCommand
 import sycamore.bench.slopes.SlopesCommand
+import sycamore.bench.soak.SoakCommand
 import sycamore.daemon.Program
 import kotlin.system.exitProcess
 
@@ -21,7 +23,9 @@
             LoadCommand(),
             DemoCommand(),
             PolicyCommand(),
+            DecisionCostCommand(),
             SlopesCommand(),
+            SoakCommand(),
         )
 
 /** Load, policy, history and slope runs. */
--- a/host/src/main/kotlin/sycamore/host/Main.kt
+++ b/host/src/main/kotlin/sycamore/host/Main.kt
@@ -45,11 +45,12 @@
                 engine = HttpEngine(http, Threads.blocking)::call
                 service = HttpService(http, Threads.blocking)::call
                 evictCache = HttpEviction(http, Threads.blocking)::evict
+                reports = EngineReports.over(http, Threads.blocking)
             }
         launch { inForce.follow(keys) }
         launch { daemon.run() }
         launch { members.follow(HttpHostList.at(settings.hostList, http, Threads.blocking)) }
-        LinkServer.listen(settings.name, settings.listen, daemon::serve)
+        LinkServer.listen(settings.name, settings.listen, serve = daemon::serve)
         launch { tls?.follow() }
         Http.serve(settings.http, AdminHttp(inForce, metrics).handler, settings.limits, tls)
         CompletableDeferred<Unit>().await()
--- a/links/src/main/kotlin/sycamore/links/Message.kt
+++ b/links/src/main/kotlin/sycamore/links/Message.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import sycamore.decisions.UpstreamState
 import sycamore.model.CallId
 import sycamore.model.CallerName
 import sycamore.model.Epoch
@@ -62,6 +63,8 @@
 /**
  * Home to gate: send this to the upstream.
  *
+ * @property isNew whether this is the first call of a program that no other program started.
+ * @property root the program that started this one, directly or through others; null for the program itself.
  * @property released bytes of a chat's answer that are there already. The body then ends with them as a message of the
  * assistant, and its bound of tokens still counts the whole answer.
  * @property age how long ago the home accepted the call.
@@ -81,6 +84,8 @@
     val promptTokens: Long,
     val released: Long,
     val timeLeft: Duration,
+    val isNew: Boolean = false,
+    val root: ProgramId? = null,
     val age: Duration = Duration.ZERO,
     val gate: Incarnation? = null,
     val attachOnly: Boolean = false,
@@ -165,7 +170,7 @@
 @SerialName("unsupported")
 data object Unsupported : Message
 
-/** A host tells its peers about itself. */
+/** A host tells its peers about itself, and about the upstream beside it if there is one. */
 @Serializable
 @SerialName("status")
 data class HostStatus(
@@ -175,6 +180,7 @@
     val running: Int,
     val generation: Generation,
     val home: HomeId? = null,
+    val upstream: UpstreamState? = null,
 ) : Message
 
 /** Which hosts does the receiver serve as home for, and how is it? Answered by [HostStatus]. */
