End a daemon with one line and code 1 when it cannot start

Cause: a taken port left the process running with a stack trace, since other threads kept the JVM alive. Both daemons now run under Program.daemon, and the address that cannot be listened on is named. Hosts log their first epoch.

--- a/daemon/src/main/kotlin/sycamore/daemon/Http.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/Http.kt
@@ -62,7 +62,7 @@
         server.addBean(NetworkConnectionLimit(limits.connections + SPARE_CONNECTIONS, server))
         server.handler = RequestGuard(limits, connections, refuse, JettyHandler(handler))
         server.errorHandler = RefusedByServer(limits, refuse)
-        return JettyServer(server).start()
+        return Program.listeningOn(address) { JettyServer(server).start() }
     }
 
     private fun connector(
--- a/daemon/src/main/kotlin/sycamore/daemon/Program.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/Program.kt
@@ -1,12 +1,20 @@
 package sycamore.daemon
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ArgType
 import kotlinx.cli.required
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.runBlocking
+import sycamore.model.Address
 import sycamore.model.Checked
 import java.io.File
+import java.io.IOException
 import kotlin.system.exitProcess
 
+private val log = KotlinLogging.logger {}
+
 /**
  * The command line that all binaries share: `--help` and `--version` end with 0, a run that failed or found something
  * wrong with [EXIT_FAILED], a wrong command line with [EXIT_MISUSE].
@@ -74,6 +82,30 @@
         }
     }
 
+    /** Runs the daemon called [name] until [run] ends. Whatever stops it ends the whole process with [EXIT_FAILED]. */
+    fun daemon(
+        name: String,
+        run: suspend CoroutineScope.() -> Unit,
+    ) {
+        try {
+            runBlocking(Dispatchers.Default, run)
+        } catch (e: Exception) {
+            log.error(e) { "$name stopped" }
+            fail(EXIT_FAILED, "$name stopped: ${e.message}")
+        }
+    }
+
+    /** Runs [listen], and names [address] when that fails. */
+    inline fun <T> listeningOn(
+        address: Address,
+        listen: () -> T,
+    ): T =
+        try {
+            listen()
+        } catch (e: IOException) {
+            throw IOException("cannot listen on $address: ${e.cause?.message ?: e.message}", e)
+        }
+
     /** Ends the process with [code] and [message] on standard error. */
     fun fail(
         code: Int,
--- a/daemon/src/test/kotlin/sycamore/daemon/HttpTest.kt
+++ b/daemon/src/test/kotlin/sycamore/daemon/HttpTest.kt
@@ -34,6 +34,14 @@
         assertFailsWith<IOException> { response.body.stream.readAllBytes() }
     }
 
+    @Test
+    fun `an address that is taken is named`() {
+        val handler: HttpHandler = { Response(Status.OK) }
+        val taken = Address("127.0.0.1", Http.serve(anyPort, handler).port())
+        val failure = assertFailsWith<IOException> { Http.serve(taken, handler) }
+        assertEquals("cannot listen on $taken: Address already in use", failure.message)
+    }
+
     private class Breaking : InputStream() {
         private var left = 10
 
--- a/entry/src/main/kotlin/sycamore/entry/Main.kt
+++ b/entry/src/main/kotlin/sycamore/entry/Main.kt
@@ -1,10 +1,8 @@
 package sycamore.entry
 
 import kotlinx.coroutines.CompletableDeferred
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.flow.filterNotNull
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.runBlocking
 import org.http4k.routing.routes
 import sycamore.daemon.AdminHttp
 import sycamore.daemon.Http
@@ -17,6 +15,7 @@
 import sycamore.daemon.log.LogContext
 import sycamore.links.LinkClient
 import sycamore.links.LinkServer
+import sycamore.model.Caller
 import sycamore.model.Host
 import sycamore.model.Incarnation
 import sycamore.platform.HttpHostList
@@ -28,7 +27,7 @@
     val settings = entry.daemon
     LogContext.host(settings.name)
     val tls = settings.tls?.let { Tls.of(it) { finding -> Program.fail(Program.EXIT_FAILED, finding) } }
-    runBlocking(Dispatchers.Default) {
+    Program.daemon("sycamore-entry") {
         val http = Http.client()
         val inForce = InForce()
         val metrics = Metrics().apply { bindProcess(inForce) }
@@ -48,17 +47,14 @@
         launch { inForce.follow(keys) }
         launch { daemon.run() }
         launch { members.follow(HttpHostList.at(settings.hostList, http, Threads.blocking)) }
-        LinkServer.listen(settings.name, settings.listen, serve = daemon::serve)
+        Program.listeningOn(
+            settings.listen,
+        ) { LinkServer.listen(settings.name, settings.listen, serve = daemon::serve) }
         launch { tls?.follow() }
         val limits = AccountLimits(entry.entries)
         launch {
             inForce.configuration.filterNotNull().collect {
-                limits.retain(
-                    it.callers
-                        .map { c ->
-                            c.name
-                        }.toSet(),
-                )
+                limits.retain(it.callers.map(Caller::name).toSet())
             }
         }
         val callers = EntryHttp(inForce, daemon, limits, settings.limits.bodyBytes, EntryMeters(metrics.registry))
--- a/host/src/main/kotlin/sycamore/host/Main.kt
+++ b/host/src/main/kotlin/sycamore/host/Main.kt
@@ -1,9 +1,7 @@
 package sycamore.host
 
 import kotlinx.coroutines.CompletableDeferred
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.runBlocking
 import sycamore.daemon.AdminHttp
 import sycamore.daemon.DaemonSettings
 import sycamore.daemon.Http
@@ -16,6 +14,7 @@
 import sycamore.daemon.log.LogContext
 import sycamore.links.LinkClient
 import sycamore.links.LinkServer
+import sycamore.model.Epoch
 import sycamore.model.Host
 import sycamore.model.Incarnation
 import sycamore.platform.HttpHostList
@@ -25,8 +24,9 @@
 fun main(args: Array<String>) {
     val settings = Program.settings("sycamore-host", args, DaemonSettings::read)
     LogContext.host(settings.name)
+    LogContext.epoch(Epoch.FIRST)
     val tls = settings.tls?.let { Tls.of(it) { finding -> Program.fail(Program.EXIT_FAILED, finding) } }
-    runBlocking(Dispatchers.Default) {
+    Program.daemon("sycamore-host") {
         val http = Http.client()
         val inForce = InForce()
         val metrics = Metrics().apply { bindProcess(inForce) }
@@ -50,7 +50,9 @@
         launch { inForce.follow(keys) }
         launch { daemon.run() }
         launch { members.follow(HttpHostList.at(settings.hostList, http, Threads.blocking)) }
-        LinkServer.listen(settings.name, settings.listen, serve = daemon::serve)
+        Program.listeningOn(
+            settings.listen,
+        ) { LinkServer.listen(settings.name, settings.listen, serve = daemon::serve) }
         launch { tls?.follow() }
         Http.serve(settings.http, AdminHttp(inForce, metrics).handler, settings.limits, tls)
         CompletableDeferred<Unit>().await()
