--- a/bench/src/main/kotlin/sycamore/bench/policy/PolicyCommand.kt
+++ b/bench/src/main/kotlin/sycamore/bench/policy/PolicyCommand.kt
@@ -17,6 +17,7 @@
     private val load by option(ArgType.Double, "load", description = "Share of the engines' capacity").default(0.9)
     private val faults by option(ArgType.String, "faults", description = "none, gaps or crash").default("none")
     private val minutes by option(ArgType.Int, "minutes", description = "Virtual minutes of arrivals").default(15)
+    private val only by option(ArgType.String, "only", description = "Measure this policy alone, without ratios")
     private val report by option(ArgType.String, "report", description = "Directory for the CSV file and the plots")
 
     override fun execute() {
@@ -24,6 +25,7 @@
         val fault = PolicyFaults.entries.firstOrNull { it.name.equals(faults, ignoreCase = true) }
         val chosen = fault ?: misuse("faults", PolicyFaults.entries.map { it.name.lowercase() }, faults)
         val comparison = PolicyComparison(fleet, seed.toLong(), minutes.minutes, chosen)
+        only?.let { name -> return println(PolicyText.describe(comparison.run(kind(name), load))) }
         val results = comparison.run(load)
         results.forEach { println(PolicyText.describe(it)) }
         results
@@ -33,6 +35,9 @@
         println(PolicyText.ratios(results))
     }
 
+    private fun kind(name: String): ArmKind =
+        ArmKind.entries.firstOrNull { it.text == name } ?: misuse("only", ArmKind.entries.map { it.text }, name)
+
     private fun misuse(
         option: String,
         expected: Collection<String>,
--- a/bench/src/main/kotlin/sycamore/bench/policy/PolicyComparison.kt
+++ b/bench/src/main/kotlin/sycamore/bench/policy/PolicyComparison.kt
@@ -26,7 +26,8 @@
         return stable?.let { "stable up to load %.1f".format(it) } ?: "not stable at load %.1f either".format(SMALLEST)
     }
 
-    private fun run(
+    /** The result of the policy [kind] at [load]. */
+    fun run(
         kind: ArmKind,
         load: Double,
     ): ArmResult =
--- a/entry/src/main/kotlin/sycamore/entry/CallHttp.kt
+++ b/entry/src/main/kotlin/sycamore/entry/CallHttp.kt
@@ -57,6 +57,7 @@
             releasedBody = ByteArray(0),
             timeLeft = service.contract(asked.method, asked.path).deadline,
             generation = request.configuration.generation,
+            mayRepeat = headers.key != null,
         )
     }
 
