--- a/bench/src/main/kotlin/sycamore/bench/Main.kt
+++ b/bench/src/main/kotlin/sycamore/bench/Main.kt
@@ -10,6 +10,7 @@
 import sycamore.bench.policy.PolicyCommand
 import sycamore.bench.slopes.IdleCommand
 import sycamore.bench.slopes.SlopesCommand
+import sycamore.bench.soak.SoakCommand
 import sycamore.daemon.Program
 import kotlin.system.exitProcess
 
@@ -22,6 +23,7 @@
             PolicyCommand(),
             DecisionCostCommand(),
             SlopesCommand(),
+            SoakCommand(),
         )
 
 /** Load, policy, history and slope runs. */
--- a/host/src/main/kotlin/sycamore/host/Main.kt
+++ b/host/src/main/kotlin/sycamore/host/Main.kt
@@ -50,7 +50,7 @@
         launch { inForce.follow(keys) }
         launch { daemon.run() }
         launch { members.follow(HttpHostList.at(settings.hostList, http, Threads.blocking)) }
-        LinkServer.listen(settings.name, settings.listen, daemon::serve)
+        LinkServer.listen(settings.name, settings.listen, serve = daemon::serve)
         launch { tls?.follow() }
         Http.serve(settings.http, AdminHttp(inForce, metrics).handler, settings.limits, tls)
         CompletableDeferred<Unit>().await()
