--- a/entry/src/main/kotlin/sycamore/entry/CallHttp.kt
+++ b/entry/src/main/kotlin/sycamore/entry/CallHttp.kt
@@ -5,6 +5,7 @@
 import sycamore.links.Call
 import sycamore.links.Refused
 import sycamore.model.CallId
+import sycamore.model.ModelName
 import sycamore.model.Service
 import kotlin.time.Duration.Companion.seconds
 import sycamore.programs.Request as Asked
@@ -19,9 +20,10 @@
         service: Service,
         headers: CallHeaders,
         asked: Asked,
+        model: ModelName? = null,
         respond: (CallId, Replies, Begun) -> Response,
     ): Response {
-        val call = call(request, service, headers, asked)
+        val call = call(request, service, headers, asked).copy(model = model)
         request.trace.call = call
         val replies = Replies(call.id, daemon.call(service, call), call.timeLeft + GRACE, request.trace)
         return when (val first = replies.next()) {
--- a/entry/src/main/kotlin/sycamore/entry/ChatHttp.kt
+++ b/entry/src/main/kotlin/sycamore/entry/ChatHttp.kt
@@ -44,7 +44,8 @@
         val service =
             serviceOf(body.model, request.configuration)
                 ?: return Problem.notRun(HttpStatus.NOT_FOUND, unknownModel(body.model, request.configuration))
-        return calls.run(request, service, headers, Asked("POST", PATH, body = bytes)) { id, replies, begun ->
+        val asked = Asked("POST", PATH, body = bytes)
+        return calls.run(request, service, headers, asked, ModelName(body.model)) { id, replies, begun ->
             answer(id, body, replies, begun)
         }
     }
--- a/entry/src/main/kotlin/sycamore/entry/HomePlacement.kt
+++ b/entry/src/main/kotlin/sycamore/entry/HomePlacement.kt
@@ -32,7 +32,8 @@
     ): HostName? {
         val configuration = inForce.configuration.value ?: return null
         val present = members.all.filterNot { it.leaving }.mapTo(HashSet()) { it.name }
-        val states = loads.of(service).filter { it.host in present }
+        val fit = service.upstreamsFor(call.model).mapTo(HashSet()) { it.host }
+        val states = loads.of(service).filter { it.host in present && it.host in fit }
         val ask = ask(call)
         val placer = Placer(Network(configuration.places, configuration.links), service.weights)
         val placement = placer.place(ask, states)
--- a/entry/src/main/kotlin/sycamore/entry/Router.kt
+++ b/entry/src/main/kotlin/sycamore/entry/Router.kt
@@ -13,6 +13,7 @@
 import sycamore.links.StartProgram
 import sycamore.model.CallId
 import sycamore.model.HostName
+import sycamore.model.ModelName
 import sycamore.model.ProgramId
 import sycamore.model.Service
 import sycamore.model.ServiceName
@@ -38,7 +39,7 @@
         call: Call,
     ): Flow<Message> =
         flow {
-            val home = placed(service, call) ?: homeFor(service, call.program ?: call.parent, call.id)
+            val home = placed(service, call) ?: homeFor(service, call.program ?: call.parent, call.id, call.model)
             if (home == null) {
                 emit(Refused(call.id, noHome(call.service)))
             } else {
@@ -102,9 +103,10 @@
         service: Service,
         program: ProgramId?,
         call: CallId,
+        model: ModelName? = null,
     ): HostName? {
         if (program != null) return directory.known(program.origin).host
-        val hosts = service.upstreams.map { it.host }
+        val hosts = service.upstreamsFor(model).map { it.host }
         val present = members.all.filter { !it.leaving }.map { it.name }
         return Rendezvous.order(call.value, hosts).firstOrNull { it in present }
     }
--- a/entry/src/test/kotlin/sycamore/entry/HomePlacementTest.kt
+++ b/entry/src/test/kotlin/sycamore/entry/HomePlacementTest.kt
@@ -21,6 +21,7 @@
 import sycamore.model.HostName
 import sycamore.model.Incarnation
 import sycamore.model.Link
+import sycamore.model.ModelName
 import sycamore.model.Place
 import sycamore.model.PlaceName
 import sycamore.model.RegionName
@@ -100,4 +101,15 @@
             members.update(listed("h1", "h2"))
             assertNull(placement.choose(service, call()))
         }
+
+    @Test
+    fun `a model that only one host names goes there`() =
+        runTest {
+            members.update(listed())
+            val peers = Peers(HostName("e"), members) { to, _ -> flowOf(status(to)) }
+            val placement = HomePlacement(places[0].name, inForce, members, HostLoads(peers, inForce, testTimeSource))
+            val mixed = upstreams.mapIndexed { i, upstream -> upstream.copy(models = listOf(ModelName("m$i"))) }
+            val asked = call().copy(model = ModelName("m1"))
+            assertEquals(names[1], placement.choose(service.copy(upstreams = mixed), asked))
+        }
 }
--- a/host/src/main/kotlin/sycamore/host/CallRunner.kt
+++ b/host/src/main/kotlin/sycamore/host/CallRunner.kt
@@ -192,7 +192,9 @@
         job: CallJob,
         tried: MutableSet<HostName>,
     ): Target? {
-        val host = gates.choose(job.service, tried) ?: gates.choose(job.service, emptySet()) ?: return null
+        val model = job.call.model
+        val host =
+            gates.choose(job.service, tried, model) ?: gates.choose(job.service, emptySet(), model) ?: return null
         val incarnation: Incarnation? = gates.incarnation(host)
         if (incarnation == null) tried += host
         return incarnation?.let { Target(host, it) }
--- a/host/src/main/kotlin/sycamore/host/Gates.kt
+++ b/host/src/main/kotlin/sycamore/host/Gates.kt
@@ -9,6 +9,7 @@
 import sycamore.model.Host
 import sycamore.model.HostName
 import sycamore.model.Incarnation
+import sycamore.model.ModelName
 import sycamore.model.Service
 import java.util.concurrent.ConcurrentHashMap
 
@@ -29,8 +30,9 @@
     fun choose(
         service: Service,
         excluded: Set<HostName>,
+        model: ModelName? = null,
     ): HostName? {
-        val hosts = service.upstreams.map { it.host }.filter { it !in excluded }
+        val hosts = service.upstreamsFor(model).map { it.host }.filter { it !in excluded }
         if (self.name in hosts && isOwnAccepting()) return self.name
         return hosts.firstOrNull { it != self.name && isPresent(it) } ?: self.name.takeIf { it in hosts }
     }
--- a/links/src/main/kotlin/sycamore/links/Message.kt
+++ b/links/src/main/kotlin/sycamore/links/Message.kt
@@ -11,6 +11,7 @@
 import sycamore.model.Host
 import sycamore.model.HostName
 import sycamore.model.Incarnation
+import sycamore.model.ModelName
 import sycamore.model.ProgramId
 import sycamore.model.ServiceName
 import sycamore.programs.Answer
@@ -32,6 +33,7 @@
  * @property releasedBody those bytes, for a home that has to make an engine go on from them.
  * @property timeLeft until the caller's deadline.
  * @property isStart whether this call began [program], whose home was lost since.
+ * @property model what a chat completion asks for; null for a plain call.
  * @property mayRepeat whether [id] may have been sent before; false for a call that carries no idempotency key.
  */
 @Serializable
@@ -51,6 +53,7 @@
     val generation: Generation,
     val isStart: Boolean = false,
     val mayRepeat: Boolean = true,
+    val model: ModelName? = null,
 ) : Message
 
 /** Proves that the sender serves the programs of [home]. A gate refuses homes that were taken over. */
--- a/model/src/main/kotlin/sycamore/model/Service.kt
+++ b/model/src/main/kotlin/sycamore/model/Service.kt
@@ -106,6 +106,9 @@
     val deadline: Duration = Contract.DEFAULT_DEADLINE,
     val limits: List<AccountLimit> = emptyList(),
 ) {
+    /** The upstreams that can serve [model]: those that name it, or all when none does. */
+    fun upstreamsFor(model: ModelName?): List<Upstream> = upstreams.filter { model in it.models }.ifEmpty { upstreams }
+
     /** The contract of [method] on [path]. */
     fun contract(
         method: String,
