--- a/host/src/main/kotlin/sycamore/host/HostWorld.kt
+++ b/host/src/main/kotlin/sycamore/host/HostWorld.kt
@@ -1,5 +1,7 @@
 package sycamore.host
 
+import io.micrometer.core.instrument.MeterRegistry
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import sycamore.daemon.ClockTime
 import sycamore.daemon.InForce
 import sycamore.daemon.Members
@@ -21,6 +23,7 @@
     val clock: Clock,
     val time: TimeSource.WithComparableMarks,
     val evictCache: EvictCache,
+    val metrics: MeterRegistry,
 ) {
     /** Collects the parts of a [HostWorld]; those without a default have to be set. */
     class Builder internal constructor(
@@ -53,10 +56,13 @@
         /** Has an engine evict the cache of a program. By default nothing is acknowledged. */
         var evictCache: EvictCache = { _, _ -> false }
 
+        /** Where the daemon registers its meters. */
+        var metrics: MeterRegistry = SimpleMeterRegistry()
+
         private fun time() = time ?: ClockTime.of(clock)
 
         internal fun build() =
-            HostWorld(self, inForce, members, exchange, keys, engine, service, clock, time(), evictCache)
+            HostWorld(self, inForce, members, exchange, keys, engine, service, clock, time(), evictCache, metrics)
     }
 }
 
