Spread configurations by gossip and deltas, learn members from each other, stop gracefully

Cause: every daemon watched the key-value service, a daemon that started during an outage had no configuration, members were the platform's lagging list alone, and SIGTERM cut off calls.

SIGTERM announces, drains, hands over, writes the audit trail and exits 0; an entry turns unready first. link_keys in settings, which listening beyond loopback requires. A link whose own end was closed is forgotten (it stayed in the client's table).

Shared: EntryDaemon.calls, HostDaemon.load, DaemonSettings.linkKeys; mains use KeyValueClient and AuditTrail.

--- a/daemon/src/main/kotlin/sycamore/daemon/DaemonSettings.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/DaemonSettings.kt
@@ -1,5 +1,6 @@
 package sycamore.daemon
 
+import sycamore.links.LinkKeys
 import sycamore.model.Address
 import sycamore.model.Checked
 import sycamore.model.HostName
@@ -15,6 +16,7 @@
  * @property keyValue the platform's key-value service.
  * @property hostList the platform's list of hosts.
  * @property limits upper bounds of what [http] accepts.
+ * @property linkKeys proof that daemons show each other.
  * @property tls the certificate that [http] shows; null serves without TLS.
  */
 data class DaemonSettings(
@@ -26,6 +28,7 @@
     val hostList: Address,
     val limits: HttpLimits = HttpLimits(),
     val tls: TlsSettings? = null,
+    val linkKeys: LinkKeys = LinkKeys.NONE,
 ) {
     companion object {
         /** Reads [text] of the settings file called [file]. */
@@ -35,16 +38,19 @@
         ): Checked<DaemonSettings> = TomlFile.read(file, text, ::from)
 
         /** Reads the settings that all daemons share. */
-        fun from(reader: TomlReader): DaemonSettings =
-            DaemonSettings(
+        fun from(reader: TomlReader): DaemonSettings {
+            val listen = reader.address("listen")
+            return DaemonSettings(
                 name = HostName(reader.name("name")),
                 place = PlaceName(reader.name("place")),
-                listen = reader.address("listen"),
+                listen = listen,
+                linkKeys = reader.linkKeys(listen),
                 http = reader.address("http"),
                 keyValue = reader.address("key_value"),
                 hostList = reader.address("host_list"),
                 limits = HttpLimits.from(reader.table("limits")),
                 tls = if (reader.has("tls")) TlsSettings.from(reader.table("tls")) else null,
             )
+        }
     }
 }
--- a/daemon/src/main/kotlin/sycamore/daemon/InForce.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/InForce.kt
@@ -30,7 +30,7 @@
         while (true) {
             val current = state.value
             if (current != null && current.generation >= offered.generation) return false
-            if (state.compareAndSet(current, offered)) {
+            if (state.compareAndSet(current, offered.copy(publishes = emptyList()))) {
                 LogContext.generation(offered.generation)
                 log.info { "generation ${offered.generation} is in force" }
                 return true
--- /dev/null
+++ b/daemon/src/main/kotlin/sycamore/daemon/KeyValueMeters.kt
@@ -0,0 +1,19 @@
+package sycamore.daemon
+
+import io.micrometer.core.instrument.FunctionCounter
+import sycamore.platform.CallCounts
+import sycamore.platform.CallKind
+import sycamore.platform.CallOutcome
+
+/** Adds the calls to the key-value service, by kind and outcome. */
+fun Metrics.bindKeyValue(counts: CallCounts) {
+    for (kind in CallKind.entries) {
+        for (outcome in CallOutcome.entries) {
+            FunctionCounter
+                .builder("sycamore.key.value.calls", counts) { it.of(kind, outcome).toDouble() }
+                .tag("kind", kind.name.lowercase())
+                .tag("outcome", outcome.name.lowercase())
+                .register(registry)
+        }
+    }
+}
--- a/entry/src/main/kotlin/sycamore/entry/EntryDaemon.kt
+++ b/entry/src/main/kotlin/sycamore/entry/EntryDaemon.kt
@@ -3,6 +3,8 @@
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.flowOf
+import kotlinx.coroutines.flow.onCompletion
+import kotlinx.coroutines.flow.onStart
 import sycamore.daemon.ClockTime
 import sycamore.daemon.ConfigurationCodec
 import sycamore.daemon.Directory
@@ -25,6 +27,7 @@
 import sycamore.model.ProgramId
 import sycamore.model.Service
 import sycamore.programs.RetainedRecords
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration.Companion.seconds
 
 /** Carries callers' calls to the homes of their programs. HTTP is on top of it, in [EntryHttp]. */
@@ -38,11 +41,20 @@
     private val router = Router(world.members, peers, directory, ClockTime.of(world.clock))
     private val retained = RetainedRecords()
 
+    private val inProgress = AtomicInteger()
+
+    /** How many calls are in progress. */
+    val calls: Int get() = inProgress.get()
+
     /** Runs [call] of [service] and yields its answer. */
     fun call(
         service: Service,
         call: Call,
-    ): Flow<Message> = router.send(service, call)
+    ): Flow<Message> =
+        router
+            .send(service, call)
+            .onStart { inProgress.incrementAndGet() }
+            .onCompletion { inProgress.decrementAndGet() }
 
     /** Starts a program of [service] and yields its view. */
     fun start(
--- a/entry/src/main/kotlin/sycamore/entry/Main.kt
+++ b/entry/src/main/kotlin/sycamore/entry/Main.kt
@@ -2,25 +2,35 @@
 
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.filterNotNull
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import org.http4k.routing.routes
 import sycamore.daemon.AdminHttp
+import sycamore.daemon.ControlPlane
 import sycamore.daemon.Http
 import sycamore.daemon.InForce
 import sycamore.daemon.Members
 import sycamore.daemon.Metrics
 import sycamore.daemon.Program
+import sycamore.daemon.Stop
 import sycamore.daemon.Threads
 import sycamore.daemon.Tls
+import sycamore.daemon.audit.AuditAction
+import sycamore.daemon.audit.AuditTrail
+import sycamore.daemon.bindKeyValue
 import sycamore.daemon.log.LogContext
 import sycamore.links.LinkClient
 import sycamore.links.LinkServer
+import sycamore.links.Role
 import sycamore.model.Host
 import sycamore.model.Incarnation
 import sycamore.platform.HttpHostList
 import sycamore.platform.HttpKeyValue
+import sycamore.platform.keyValueClient
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Runs an entry daemon. */
 fun main(args: Array<String>) {
@@ -34,8 +44,10 @@
         val metrics = Metrics().apply { bindProcess(inForce) }
         tls?.let(metrics::bindTls)
         val members = Members()
-        val links = LinkClient(settings.name)
-        val keys = HttpKeyValue(settings.keyValue, http, Threads.blocking)
+        val links = LinkClient(settings.name, settings.linkKeys)
+        val keys = keyValueClient(HttpKeyValue(settings.keyValue, http, Threads.blocking))
+        metrics.bindKeyValue(keys.counts)
+        val audit = AuditTrail(keys, settings.name.value)
         val self = Host(settings.name, settings.place, settings.listen, Incarnation.random())
         val daemon =
             entryDaemon(self) {
@@ -45,10 +57,13 @@
                 exchange = links::exchange
                 this.metrics = metrics.registry
             }
-        launch { inForce.follow(keys) }
+        val control = ControlPlane(self, Role.ENTRY, members, inForce, keys, links::exchange)
+        launch { control.run() }
+        launch { audit.run() }
         launch { daemon.run() }
         launch { members.follow(HttpHostList.at(settings.hostList, http, Threads.blocking)) }
-        LinkServer.listen(settings.name, settings.listen, serve = daemon::serve)
+        val server =
+            LinkServer.listen(settings.name, settings.listen, settings.linkKeys, serve = control.around(daemon::serve))
         launch { tls?.follow() }
         val limits = AccountLimits(entry.entries)
         launch {
@@ -62,8 +77,28 @@
             }
         }
         val callers = EntryHttp(inForce, daemon, limits, settings.limits.bodyBytes, EntryMeters(metrics.registry))
-        val admin = AdminHttp(inForce, metrics).handler
+        val admin = AdminHttp(inForce, metrics) { control.isLeaving }.handler
         Http.serve(settings.http, routes(admin, callers.handler), settings.limits, tls, Problem::overLimit)
+        audit.record(AuditAction.START, "${self.name} ${self.incarnation}", inForce.generation)
+        Stop.onRequest {
+            control.leave()
+            delay(BALANCER_NOTICE)
+            while (daemon.calls > 0) delay(DRAIN_CHECK)
+            delay(LAST_BYTES)
+            audit.record(AuditAction.STOP, "${self.name} ${self.incarnation}", inForce.generation)
+            server.leave(Stop.LIMIT)
+            audit.flush(AUDIT_WITHIN)
+        }
         CompletableDeferred<Unit>().await()
     }
 }
+
+/** How long the balancer takes to notice that an entry is not ready; calls are still taken meanwhile. */
+private val BALANCER_NOTICE = 5.seconds
+
+private val DRAIN_CHECK = 50.milliseconds
+
+/** How long the last bytes of answers take to leave. */
+private val LAST_BYTES = 500.milliseconds
+
+private val AUDIT_WITHIN = 5.seconds
--- a/host/src/main/kotlin/sycamore/host/HostDaemon.kt
+++ b/host/src/main/kotlin/sycamore/host/HostDaemon.kt
@@ -11,6 +11,7 @@
 import sycamore.daemon.ConfigurationCodec
 import sycamore.daemon.Directory
 import sycamore.daemon.Peers
+import sycamore.daemon.members.Load
 import sycamore.links.AskConfiguration
 import sycamore.links.AskRoot
 import sycamore.links.AskStatus
@@ -120,6 +121,15 @@
         delay(LAST_REPLIES)
     }
 
+    /** The load of this host's upstream at this moment. */
+    fun load(): Load {
+        val upstream =
+            inForce.configuration.value
+                ?.upstreamOf(self.name)
+                ?.second
+        return Load(queued = 0, running = gate.calls, capacity = upstream?.capacity ?: 0)
+    }
+
     private fun newHome(): Home {
         homes++
         val suffix = if (homes == 1) "" else "r$homes"
--- a/host/src/main/kotlin/sycamore/host/Main.kt
+++ b/host/src/main/kotlin/sycamore/host/Main.kt
@@ -5,21 +5,29 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import sycamore.daemon.AdminHttp
+import sycamore.daemon.ControlPlane
 import sycamore.daemon.DaemonSettings
 import sycamore.daemon.Http
 import sycamore.daemon.InForce
 import sycamore.daemon.Members
 import sycamore.daemon.Metrics
 import sycamore.daemon.Program
+import sycamore.daemon.Stop
 import sycamore.daemon.Threads
 import sycamore.daemon.Tls
+import sycamore.daemon.audit.AuditAction
+import sycamore.daemon.audit.AuditTrail
+import sycamore.daemon.bindKeyValue
 import sycamore.daemon.log.LogContext
 import sycamore.links.LinkClient
 import sycamore.links.LinkServer
+import sycamore.links.Role
 import sycamore.model.Host
 import sycamore.model.Incarnation
 import sycamore.platform.HttpHostList
 import sycamore.platform.HttpKeyValue
+import sycamore.platform.keyValueClient
+import kotlin.time.Duration.Companion.seconds
 
 /** Runs the daemon beside an upstream. */
 fun main(args: Array<String>) {
@@ -32,9 +40,11 @@
         val metrics = Metrics().apply { bindProcess(inForce) }
         tls?.let(metrics::bindTls)
         val members = Members()
-        val links = LinkClient(settings.name)
+        val links = LinkClient(settings.name, settings.linkKeys)
         val self = Host(settings.name, settings.place, settings.listen, Incarnation.random())
-        val keys = HttpKeyValue(settings.keyValue, http, Threads.blocking)
+        val keys = keyValueClient(HttpKeyValue(settings.keyValue, http, Threads.blocking))
+        metrics.bindKeyValue(keys.counts)
+        val audit = AuditTrail(keys, settings.name.value)
         val daemon =
             hostDaemon(self) {
                 this.inForce = inForce
@@ -46,12 +56,25 @@
                 service = HttpService(http, Threads.blocking)::call
                 evictCache = HttpEviction(http, Threads.blocking)::evict
             }
-        launch { inForce.follow(keys) }
+        val control = ControlPlane(self, Role.HOST, members, inForce, keys, links::exchange, daemon::load)
+        launch { control.run() }
+        launch { audit.run() }
         launch { daemon.run() }
         launch { members.follow(HttpHostList.at(settings.hostList, http, Threads.blocking)) }
-        LinkServer.listen(settings.name, settings.listen, serve = daemon::serve)
+        val server =
+            LinkServer.listen(settings.name, settings.listen, settings.linkKeys, serve = control.around(daemon::serve))
         launch { tls?.follow() }
-        Http.serve(settings.http, AdminHttp(inForce, metrics).handler, settings.limits, tls)
+        Http.serve(settings.http, AdminHttp(inForce, metrics) { control.isLeaving }.handler, settings.limits, tls)
+        audit.record(AuditAction.START, "${self.name} ${self.incarnation}", inForce.generation)
+        Stop.onRequest {
+            control.leave()
+            daemon.stop()
+            audit.record(AuditAction.STOP, "${self.name} ${self.incarnation}", inForce.generation)
+            server.leave(Stop.LIMIT)
+            audit.flush(AUDIT_WITHIN)
+        }
         CompletableDeferred<Unit>().await()
     }
 }
+
+private val AUDIT_WITHIN = 5.seconds
--- a/links/src/main/kotlin/sycamore/links/Connection.kt
+++ b/links/src/main/kotlin/sycamore/links/Connection.kt
@@ -2,7 +2,9 @@
 
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import java.io.IOException
 import kotlin.time.Duration
@@ -56,11 +58,10 @@
             val writing = launch { writer.run() }
             try {
                 while (true) receive(handle)
-            } catch (e: CancellationException) {
-                close("this end was closed")
-                throw e
             } catch (e: Exception) {
-                close(e.message ?: "the peer closed the connection")
+                // A pipe that was closed fails with a cancellation too, which is not one of this coroutine.
+                close(if (e is CancellationException) "this end was closed" else e.message ?: "the peer closed it")
+                currentCoroutineContext().ensureActive()
             } finally {
                 watchdog.cancel()
                 writing.cancel()
--- a/links/src/main/kotlin/sycamore/links/LinkClient.kt
+++ b/links/src/main/kotlin/sycamore/links/LinkClient.kt
@@ -77,8 +77,11 @@
         val link = AskingLink(pipe, to, bounds, time)
         links[to] = link
         scope.launch {
-            link.run()
-            links.remove(to, link)
+            try {
+                link.run()
+            } finally {
+                links.remove(to, link)
+            }
         }
         return link
     }
--- a/links/src/main/kotlin/sycamore/links/LinkKeys.kt
+++ b/links/src/main/kotlin/sycamore/links/LinkKeys.kt
@@ -44,6 +44,10 @@
 class LinkKeys(
     internal val all: List<LinkKey>,
 ) {
+    override fun equals(other: Any?): Boolean = other is LinkKeys && all.map { it.id } == other.all.map { it.id }
+
+    override fun hashCode(): Int = all.map { it.id }.hashCode()
+
     internal fun find(id: String): LinkKey? = all.firstOrNull { it.id == id }
 
     companion object {
--- a/links/src/main/kotlin/sycamore/links/LinkServer.kt
+++ b/links/src/main/kotlin/sycamore/links/LinkServer.kt
@@ -3,21 +3,26 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.ServerSocket
+import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.awaitClosed
 import io.ktor.network.sockets.port
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.model.Address
 import sycamore.model.HostName
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
 private val log = KotlinLogging.logger {}
@@ -30,6 +35,7 @@
     private val maxConnections: Int,
 ) : AutoCloseable {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
+    private val sockets = ConcurrentHashMap.newKeySet<Socket>()
 
     /** Bytes of all links. */
     val traffic = LinkTraffic()
@@ -45,15 +51,26 @@
                     log.warn { "connection from ${accepted.remoteAddress} closed, since $maxConnections are open" }
                     accepted.close()
                 } else {
-                    scope.launch { acceptor.run(Pipe.of(accepted, traffic)) }
+                    scope.launch { run(accepted) }
                 }
             }
         }
     }
 
+    private suspend fun run(accepted: Socket) {
+        sockets += accepted
+        try {
+            acceptor.run(Pipe.of(accepted, traffic))
+        } finally {
+            withContext(NonCancellable) { withTimeoutOrNull(LAST_BYTES) { accepted.awaitClosed() } }
+            sockets -= accepted
+        }
+    }
+
     /** Takes no new exchanges, waits up to [within] for those in progress to end, then closes. */
     suspend fun leave(within: Duration) {
         acceptor.leave(within)
+        withTimeoutOrNull(LAST_BYTES) { while (sockets.isNotEmpty()) delay(CLOSE_CHECK) }
         close()
     }
 
@@ -83,6 +100,11 @@
         }
 
         private const val BACKLOG = 1_024
+
+        /** How long what was written last may take to leave before a socket is closed all the same. */
+        private val LAST_BYTES = 2.seconds
+
+        private val CLOSE_CHECK = 10.milliseconds
     }
 }
 
