--- a/bench/src/main/kotlin/sycamore/bench/Main.kt
+++ b/bench/src/main/kotlin/sycamore/bench/Main.kt
@@ -6,9 +6,11 @@
 import kotlinx.cli.Subcommand
 import sycamore.bench.history.HistoryCommand
 import sycamore.bench.load.LoadCommand
+import sycamore.bench.policy.DecisionCostCommand
 import sycamore.bench.policy.PolicyCommand
 import sycamore.bench.slopes.IdleCommand
 import sycamore.bench.slopes.SlopesCommand
+import sycamore.bench.soak.SoakCommand
 import sycamore.daemon.Program
 import kotlin.system.exitProcess
 
@@ -19,7 +21,9 @@
             IdleCommand(),
             LoadCommand(),
             PolicyCommand(),
+            DecisionCostCommand(),
             SlopesCommand(),
+            SoakCommand(),
         )
 
 /** Load, policy, history and slope runs. */
