Wait until a publish is in force, show places and daemons, measure the spread

Change: sycamorectl status asks one daemon of each place; publish waits until all daemons report the generation, with progress; sycamore-bench spread runs real control planes over loopback links in one process.

--- a/bench/src/main/kotlin/sycamore/bench/Main.kt
+++ b/bench/src/main/kotlin/sycamore/bench/Main.kt
@@ -11,6 +11,7 @@
 import sycamore.bench.slopes.IdleCommand
 import sycamore.bench.slopes.SlopesCommand
 import sycamore.bench.soak.SoakCommand
+import sycamore.bench.spread.SpreadCommand
 import sycamore.daemon.Program
 import kotlin.system.exitProcess
 
@@ -24,6 +25,7 @@
             DecisionCostCommand(),
             SlopesCommand(),
             SoakCommand(),
+            SpreadCommand(),
         )
 
 /** Load, policy, history and slope runs. */
--- a/ctl/src/main/kotlin/sycamore/ctl/FleetClient.kt
+++ b/ctl/src/main/kotlin/sycamore/ctl/FleetClient.kt
@@ -2,8 +2,12 @@
 
 import sycamore.daemon.Http
 import sycamore.daemon.Threads
+import sycamore.daemon.linkKeys
+import sycamore.links.LinkClient
+import sycamore.links.LinkKeys
 import sycamore.model.Address
 import sycamore.model.Checked
+import sycamore.model.HostName
 import sycamore.model.TomlFile
 import sycamore.model.TomlReader
 import sycamore.platform.HttpHostList
@@ -18,6 +22,7 @@
 internal data class FleetSettings(
     val keyValue: Address? = null,
     val hostList: Address? = null,
+    val linkKeys: LinkKeys = LinkKeys.NONE,
 ) {
     companion object {
         /** Reads [text] of the settings file called [file]. */
@@ -30,6 +35,7 @@
             FleetSettings(
                 keyValue = if (reader.has("key_value")) reader.address("key_value") else null,
                 hostList = if (reader.has("host_list")) reader.address("host_list") else null,
+                linkKeys = reader.linkKeys(listen = null),
             )
     }
 }
@@ -49,7 +55,17 @@
     /** The list of hosts, or null when none was named. */
     val hosts: ReadHostList? = settings.hostList?.let { HttpHostList.at(it, http, Threads.blocking) }
 
-    override fun close() = Unit
+    private val links = lazy { LinkClient(HostName("sycamorectl"), settings.linkKeys) }
+
+    /** Asks the daemons of all places; null when no list of hosts was named. */
+    suspend fun survey(): FleetReport? {
+        val listed = hosts?.invoke() ?: return null
+        return Survey(links.value::exchange).of(listed)
+    }
+
+    override fun close() {
+        if (links.isInitialized()) links.value.close()
+    }
 
     companion object {
         /** Opens the fleet that the file at [path] names; [keyValue] and [hostList] go before the file. */
@@ -63,6 +79,7 @@
                 FleetSettings(
                     keyValue = keyValue?.let { address("--key-value", it) } ?: settings.keyValue,
                     hostList = hostList?.let { address("--host-list", it) } ?: settings.hostList,
+                    linkKeys = settings.linkKeys,
                 ),
             )
         }
--- a/ctl/src/main/kotlin/sycamore/ctl/Main.kt
+++ b/ctl/src/main/kotlin/sycamore/ctl/Main.kt
@@ -27,6 +27,7 @@
         CheckCommand(terminal),
         PublishCommand(terminal),
         ShowCommand(terminal),
+        StatusCommand(terminal),
         AuditCommand(terminal),
         KeyCommand(terminal),
     )
--- a/ctl/src/main/kotlin/sycamore/ctl/PublishCommand.kt
+++ b/ctl/src/main/kotlin/sycamore/ctl/PublishCommand.kt
@@ -24,6 +24,11 @@
         "confirm",
         description = "Service, caller or place whose dangerous change is meant; may be repeated",
     ).multiple()
+    private val noWait by option(
+        ArgType.Boolean,
+        "no-wait",
+        description = "Do not wait until it is in force; without a list of hosts publish never waits",
+    ).default(false)
     private val by by option(ArgType.String, "as", description = "Name for the audit trail; the login name by default")
 
     override suspend fun run(fleet: FleetClient): Exit =
@@ -44,7 +49,9 @@
                 changes.forEach(terminal::say)
                 announce(audit, request, generation, changes)
             }
-        return PublishReport(terminal).show(published, request.publishId)
+        val exit = PublishReport(terminal).show(published, request.publishId)
+        val isWaiting = published is Published.Accepted && fleet.hosts != null && !noWait
+        return if (isWaiting) Rollout(terminal, fleet::survey).await(published.generation, ROLLOUT_WITHIN) else exit
     }
 
     /** The trail names each publish before it can take effect. */
@@ -60,5 +67,6 @@
 
     private companion object {
         val AUDIT_WITHIN: Duration = 15.seconds
+        val ROLLOUT_WITHIN: Duration = 60.seconds
     }
 }
