Let a rumour carry only the word that cannot wait

Cause: each new generation was told with all news of the members, 26,829 bytes for each daemon and change with 30 daemons and 60,757 with 100 in 12 places.

Change: a rumour carries the sender's own word and is answered with the receiver's.

--- a/daemon/src/main/kotlin/sycamore/daemon/members/Gossiper.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/members/Gossiper.kt
@@ -74,7 +74,7 @@
     /** Answers [gossip] with this daemon's own news. */
     fun answer(gossip: Gossip): Gossip {
         take(gossip)
-        return news()
+        return if (gossip.isRumour) Gossip(word()) else news()
     }
 
     /** Exchanges news until cancelled. */
@@ -100,7 +100,7 @@
         coroutineScope {
             val near = inPlace().shuffled(random).take(bounds.rumour)
             val far = byPlace().filterKeys { it != self.place }.values.mapNotNull(::draw)
-            (near + far).forEach { launch { gossipWith(it) } }
+            (near + far).forEach { launch { gossipWith(it, Gossip(word(), isRumour = true)) } }
         }
     }
 
@@ -124,9 +124,12 @@
         }
     }
 
-    private suspend fun gossipWith(to: Address) {
+    private suspend fun gossipWith(
+        to: Address,
+        gossip: Gossip = news(),
+    ) {
         try {
-            val reply = withTimeoutOrNull(bounds.limit) { exchange(to, news()).firstOrNull() }
+            val reply = withTimeoutOrNull(bounds.limit) { exchange(to, gossip).firstOrNull() }
             (reply as? Gossip)?.let(::take)
         } catch (_: LinkException) {
             // A daemon that cannot be reached is forgotten once nobody has heard of it for long.
--- a/links/src/main/kotlin/sycamore/links/ControlMessage.kt
+++ b/links/src/main/kotlin/sycamore/links/ControlMessage.kt
@@ -55,13 +55,18 @@
     @CborLabel(10) val residentTokens: Long,
 )
 
-/** Daemon to daemon: news of members and places. Answered by the receiver's own news, as another [Gossip]. */
+/**
+ * Daemon to daemon: news of members and places. Answered by the receiver's own news, as another [Gossip].
+ *
+ * @property isRumour whether it carries only the sender's own word, and wants only the receiver's.
+ */
 @Serializable
 @SerialName("gossip")
 data class Gossip(
     @CborLabel(1) val from: Sighting,
     @CborLabel(2) val members: List<Sighting> = emptyList(),
     @CborLabel(3) val places: List<PlaceSummary> = emptyList(),
+    @CborLabel(4) val isRumour: Boolean = false,
 ) : Message
 
 /** What changed after [above]? Answered by [ConfigurationChange], [ConfigurationBytes] or nothing. */
