Sort the members' words by counts that cannot change meanwhile

Cause: with 100 daemons the sort of the words read counts that other exchanges were raising, failed with 'Comparison method violates its general contract' and ended the gossip.

Change: the counts are read once before sorting.

--- a/daemon/src/main/kotlin/sycamore/daemon/members/Gossiper.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/members/Gossiper.kt
@@ -148,16 +148,16 @@
 
     /** This daemon's word, the members' words that it has passed on least, and the places' summaries. */
     private fun news(): Gossip {
-        val least =
+        val counted =
             members.sighted
                 .filter { it.host.place == self.place || it.leaving }
+                .map { it to (told[it.host.name] ?: 0) }
+        val least =
+            counted
                 .shuffled(random)
-                .sortedWith(
-                    compareBy({ !it.leaving || (told[it.host.name] ?: 0) > bounds.rumour }, {
-                        told[it.host.name]
-                            ?: 0
-                    }),
-                ).take(bounds.news)
+                .sortedWith(compareBy({ (seen, times) -> !seen.leaving || times > bounds.rumour }, { it.second }))
+                .take(bounds.news)
+                .map { it.first }
         least.forEach { told.merge(it.host.name, 1, Int::plus) }
         return Gossip(word(), least, members.places.shuffled(random).take(bounds.places))
     }
