--- a/bench/src/main/kotlin/sycamore/bench/Main.kt
+++ b/bench/src/main/kotlin/sycamore/bench/Main.kt
@@ -13,6 +13,7 @@
 import sycamore.bench.slopes.IdleCommand
 import sycamore.bench.slopes.SlopesCommand
 import sycamore.bench.soak.SoakCommand
+import sycamore.bench.spread.SpreadCommand
 import sycamore.daemon.Program
 import kotlin.system.exitProcess
 
@@ -28,6 +29,7 @@
             DecisionCostCommand(),
             SlopesCommand(),
             SoakCommand(),
+            SpreadCommand(),
         )
 
 /** Load, policy, history and slope runs. */
