--- a/bench/src/main/kotlin/sycamore/bench/Main.kt
+++ b/bench/src/main/kotlin/sycamore/bench/Main.kt
@@ -4,13 +4,16 @@
 
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
+import sycamore.bench.demo.DemoCommand
 import sycamore.bench.history.HistoryCommand
 import sycamore.bench.load.LoadCommand
 import sycamore.bench.policy.DecisionCostCommand
 import sycamore.bench.policy.PolicyCommand
+import sycamore.bench.recovery.RecoveryCommand
 import sycamore.bench.slopes.IdleCommand
 import sycamore.bench.slopes.SlopesCommand
 import sycamore.bench.soak.SoakCommand
+import sycamore.bench.spread.SpreadCommand
 import sycamore.daemon.Program
 import kotlin.system.exitProcess
 
@@ -20,10 +23,13 @@
             HistoryCommand(),
             IdleCommand(),
             LoadCommand(),
+            DemoCommand(),
             PolicyCommand(),
+            RecoveryCommand(),
             DecisionCostCommand(),
             SlopesCommand(),
             SoakCommand(),
+            SpreadCommand(),
         )
 
 /** Load, policy, history and slope runs. */
--- a/bench/src/main/kotlin/sycamore/bench/slopes/StateSlopes.kt
+++ b/bench/src/main/kotlin/sycamore/bench/slopes/StateSlopes.kt
@@ -19,7 +19,10 @@
     private val members = listOf(200, 400, 800).map { it * scale }
 
     /** All slopes of this kind. */
-    fun measure(): List<Slope> = heap() + encoded()
+    fun measure(): List<Slope> {
+        table(programs.first(), 1, SHORT)
+        return heap() + encoded()
+    }
 
     private fun heap(): List<Slope> =
         listOf(
