--- a/bench/src/main/kotlin/sycamore/bench/history/Event.kt
+++ b/bench/src/main/kotlin/sycamore/bench/history/Event.kt
@@ -98,6 +98,13 @@
     val tokens: Long,
 ) : Event
 
+/** A call arrived at a plain service, which may carry it out much later. */
+internal data class OrderArrived(
+    override val at: Duration,
+    val host: HostName,
+    val call: CallId,
+) : Event
+
 /** A plain service carried a call out. */
 internal data class OrderRan(
     override val at: Duration,
--- a/bench/src/main/kotlin/sycamore/bench/history/History.kt
+++ b/bench/src/main/kotlin/sycamore/bench/history/History.kt
@@ -60,6 +60,7 @@
             is CallBroke -> event.call
             is EngineStarted -> event.call
             is EngineFinished -> event.call
+            is OrderArrived -> event.call
             is OrderRan -> event.call
             else -> null
         }
--- a/bench/src/main/kotlin/sycamore/bench/history/HistoryCommand.kt
+++ b/bench/src/main/kotlin/sycamore/bench/history/HistoryCommand.kt
@@ -63,6 +63,9 @@
     }
 
     private fun showRefusals(history: History) {
+        history.events.filter { it is FaultBegan || it is FaultEnded || it is StopBegan || it is StopEnded }.forEach(
+            ::println,
+        )
         history.refused.filter { it.outcome == Outcome.UNKNOWN }.forEach { refusal ->
             println("unknown:")
             history.about(refusal.call).forEach { println("    $it") }
--- a/bench/src/main/kotlin/sycamore/bench/history/OperationChecks.kt
+++ b/bench/src/main/kotlin/sycamore/bench/history/OperationChecks.kt
@@ -61,7 +61,8 @@
     }
 
 private fun starts(history: History): List<Run> =
-    history.engineStarts.map { Run(it.at, it.host, it.call) } + history.orders.map { Run(it.at, it.host, it.call) }
+    history.engineStarts.map { Run(it.at, it.host, it.call) } +
+        history.of<OrderArrived>().map { Run(it.at, it.host, it.call) }
 
 private fun endings(history: History): List<Ending> =
     history.sent.map { sent ->
--- a/bench/src/main/kotlin/sycamore/bench/history/Upstreams.kt
+++ b/bench/src/main/kotlin/sycamore/bench/history/Upstreams.kt
@@ -99,6 +99,7 @@
         forward: Forward,
     ): Flow<UpstreamEvent> =
         running { events ->
+            recorder.record { OrderArrived(it, upstream.host, forward.id) }
             delay(random.nextInt(ORDER_MILLIS).milliseconds)
             while (isHung(upstream.host)) delay(HUNG_CHECK)
             val body = forward.request.body.decodeToString()
--- a/host/src/main/kotlin/sycamore/host/HostDaemon.kt
+++ b/host/src/main/kotlin/sycamore/host/HostDaemon.kt
@@ -204,7 +204,8 @@
     }
 
     private suspend fun evict(evict: EvictProgram): Message {
-        val (service, upstream) = inForce.configuration.value?.upstreamOf(self.name) ?: return Done
+        val configuration = inForce.configuration.value ?: return Declined("no configuration is in force yet", RETRY)
+        val (service, upstream) = configuration.upstreamOf(self.name) ?: return Done
         if (service.kind != ServiceKind.MODEL) return Done
         this.upstream.ended(evict.program)
         val isEvicted = gate.evict(upstream, evict.program)
--- a/host/src/main/kotlin/sycamore/host/Takeovers.kt
+++ b/host/src/main/kotlin/sycamore/host/Takeovers.kt
@@ -3,6 +3,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.delay
 import sycamore.daemon.Background
 import sycamore.daemon.Directory
 import sycamore.daemon.Peers
@@ -74,7 +75,15 @@
         if (hasEnded(successor)) return Declined("${successor.id} has ended itself", RETRY)
         val winner = claim(lost, successor) ?: return Declined("the key-value service does not answer", RETRY)
         if (winner != successor.id) return TakenOver(lost, winner)
-        return recover(lost, successor)
+        return recover(lost, successor).also { if (it is Declined) finishLater(order) }
+    }
+
+    /** A home that was claimed gets no other successor, so its claimant goes on until the programs are here. */
+    private fun finishLater(order: TakeOver) {
+        background.launch("finishing the takeover of ${order.home}") {
+            delay(FINISH_PAUSE)
+            takeOver(order.copy(isWilling = true))
+        }
     }
 
     private suspend fun isAlive(lost: HomeId): Boolean = lost.host != self && peers.status(lost.host)?.home == lost
@@ -198,6 +207,7 @@
 
     private companion object {
         val RETRY: Duration = 1.seconds
+        val FINISH_PAUSE: Duration = 5.seconds
         val RECORD_LEASE: Duration = 35.days
     }
 }
