--- a/bench/src/main/kotlin/sycamore/bench/load/LoadReport.kt
+++ b/bench/src/main/kotlin/sycamore/bench/load/LoadReport.kt
@@ -24,7 +24,7 @@
         buildString {
             appendLine("# Load run\n")
             appendLine("`${LoadText.summary(result)}`\n")
-            appendLine("Machine load at the end: ${LoadText.number(result.machineLoad)}.")
+            appendLine("Machine load at the end: ${LoadText.number(result.loadAverage)}.")
             appendLine("Throughput ratio of each round: ${result.ratios.joinToString { LoadText.number(it) }}.\n")
             appendTable(LoadText.csv(result))
             appendLine("\n## Cost\n")
--- a/bench/src/main/kotlin/sycamore/bench/load/LoadResult.kt
+++ b/bench/src/main/kotlin/sycamore/bench/load/LoadResult.kt
@@ -50,7 +50,7 @@
  * What a whole load run gave.
  *
  * @property residentMegabytes largest resident memory of a process of each role, at the end.
- * @property machineLoad the machine's load average at the end, which other work shares.
+ * @property loadAverage of the machine at the end, which other work shares.
  */
 internal class LoadResult(
     val directPeak: PhaseResult,
@@ -60,7 +60,7 @@
     val systemNear: PhaseResult,
     val ratios: List<Double>,
     val residentMegabytes: Map<Role, Double>,
-    val machineLoad: Double,
+    val loadAverage: Double,
 ) {
     /** All phases, in the order that they ran. */
     val phases: List<PhaseResult> get() = listOf(directPeak, systemPeak, directHalf, systemHalf, systemNear)
