--- a/host/src/main/kotlin/sycamore/host/Takeovers.kt
+++ b/host/src/main/kotlin/sycamore/host/Takeovers.kt
@@ -7,6 +7,7 @@
 import sycamore.daemon.Background
 import sycamore.daemon.Directory
 import sycamore.daemon.Peers
+import sycamore.daemon.log.LogContext
 import sycamore.links.Declined
 import sycamore.links.ForgetHome
 import sycamore.links.Message
@@ -182,6 +183,7 @@
         val records = logs.flatMap { it.records } + retained
         val epoch = (logs.map { it.epoch } + records.map { it.epoch }).maxOrNull() ?: Epoch.FIRST
         journal.log.raise(epoch)
+        LogContext.epoch(journal.log.epoch)
         val merged = LogMerge.merge(records)
         val gaps = merged.sumOf { it.dropped.size }
         successor.adopt(merged)
