Read streams of pieces in one place, and drop the unused way of following configurations

Cause: ReplyStream and the stand-in's TokenStream each cut pieces into reads by the same lines, and nothing calls InForce.follow since daemons and the history run use ControlPlane. Change: PieceStream in daemon, from which both streams are made; InForce.follow is gone.

--- a/daemon/src/main/kotlin/sycamore/daemon/InForce.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/InForce.kt
@@ -1,17 +1,12 @@
 package sycamore.daemon
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
 import sycamore.daemon.log.LogContext
 import sycamore.model.Configuration
 import sycamore.model.Generation
-import sycamore.platform.KeyValue
-import sycamore.platform.Read
-import sycamore.platform.Revision
-import kotlin.time.Duration.Companion.seconds
 
 private val log = KotlinLogging.logger {}
 
@@ -38,27 +33,10 @@
         }
     }
 
-    /** Follows the published configuration in [keys] until cancelled. */
-    suspend fun follow(keys: KeyValue) {
-        var seen = Revision.ABSENT
-        while (true) {
-            when (val read = keys.changes(KEY, seen, WATCH)) {
-                is Read.Found -> {
-                    read.value.forEach { item -> item.value?.let { offer(decode(it)) } }
-                    seen = maxOf(seen, read.value.maxOfOrNull { it.version } ?: seen)
-                }
-                is Read.Unreachable -> delay(PAUSE)
-            }
-        }
-    }
-
     companion object {
         /** The key of the published configuration. */
         const val KEY = "config/current"
 
-        private val WATCH = 30.seconds
-        private val PAUSE = 1.seconds
-
         /** Decodes a published configuration. */
         fun decode(bytes: ByteArray): Configuration = ConfigurationCodec.decode(bytes)
 
--- a/entry/src/main/kotlin/sycamore/entry/ReplyStream.kt
+++ b/entry/src/main/kotlin/sycamore/entry/ReplyStream.kt
@@ -1,12 +1,12 @@
 package sycamore.entry
 
 import org.http4k.core.Response
+import sycamore.daemon.PieceStream
 import sycamore.links.Part
 import sycamore.links.Refused
 import sycamore.links.Whole
 import sycamore.programs.Refusal
 import java.io.IOException
-import java.io.InputStream
 
 /** Turns the replies of a call into the bytes of a response's body. */
 internal interface Rendering {
@@ -32,42 +32,19 @@
 internal class ReplyStream(
     private val replies: Replies,
     private val rendering: Rendering,
-) : InputStream() {
-    private var buffer = rendering.begin()
-    private var position = 0
+) : PieceStream(rendering.begin()) {
     private var isWhole = false
     private var failure: Refusal? = null
 
-    override fun read(): Int {
-        val one = ByteArray(1)
-        return if (read(one, 0, 1) < 0) -1 else one[0].toInt() and BYTE_MASK
-    }
-
-    override fun read(
-        target: ByteArray,
-        offset: Int,
-        length: Int,
-    ): Int {
-        while (position == buffer.size) {
-            if (isWhole) return -1
-            failure?.let { throw IOException("the answer broke off: ${it.detail}") }
-            fill()
+    override fun next(): ByteArray? {
+        if (isWhole) return null
+        failure?.let { throw IOException("the answer broke off: ${it.detail}") }
+        return when (val reply = replies.next()) {
+            is Part -> rendering.part(reply)
+            is Whole -> rendering.whole(reply).also { isWhole = true }
+            is Refused -> broken(reply.refusal)
+            else -> ByteArray(0)
         }
-        val count = minOf(length, buffer.size - position)
-        buffer.copyInto(target, offset, position, position + count)
-        position += count
-        return count
-    }
-
-    private fun fill() {
-        position = 0
-        buffer =
-            when (val reply = replies.next()) {
-                is Part -> rendering.part(reply)
-                is Whole -> rendering.whole(reply).also { isWhole = true }
-                is Refused -> broken(reply.refusal)
-                else -> ByteArray(0)
-            }
     }
 
     private fun broken(refusal: Refusal): ByteArray {
@@ -79,8 +56,6 @@
     override fun close() = replies.close()
 
     companion object {
-        private const val BYTE_MASK = 0xff
-
         /**
          * [response] with the answer in [replies] as its body, rendered by [rendering].
          *
--- a/standins/src/main/kotlin/sycamore/standins/engine/TokenStream.kt
+++ b/standins/src/main/kotlin/sycamore/standins/engine/TokenStream.kt
@@ -3,8 +3,8 @@
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
+import sycamore.daemon.PieceStream
 import java.io.IOException
-import java.io.InputStream
 import kotlin.time.Duration.Companion.milliseconds
 
 /** The answer of [running] as server-sent events from byte [offset] of its text on, each as soon as it is generated. */
@@ -13,36 +13,15 @@
     private val running: RunningCall,
     private val prompt: ChatPrompt,
     offset: Int,
-) : InputStream() {
+) : PieceStream() {
     private val events = ChatEvents(prompt)
-    private var buffer = ByteArray(0)
-    private var position = 0
     private var sent = 0
     private var skip = offset
     private var isDone = false
 
-    override fun read(): Int {
-        val one = ByteArray(1)
-        return if (read(one, 0, 1) < 0) -1 else one[0].toInt() and BYTE_MASK
-    }
-
-    override fun read(
-        target: ByteArray,
-        offset: Int,
-        length: Int,
-    ): Int {
-        while (position == buffer.size) {
-            if (isDone) return -1
-            buffer = next().encodeToByteArray()
-            position = 0
-        }
-        val count = minOf(length, buffer.size - position)
-        buffer.copyInto(target, offset, position, position + count)
-        position += count
-        return count
-    }
+    override fun next(): ByteArray? = if (isDone) null else generated().encodeToByteArray()
 
-    private fun next(): String {
+    private fun generated(): String {
         val ready = runBlocking { runner.watch { awaitMore() } }
         val text = (sent until ready).joinToString("") { textOf(prompt.words[it]) }
         sent = ready
@@ -66,7 +45,6 @@
     }
 
     private companion object {
-        const val BYTE_MASK = 0xff
         val POLL = 100.milliseconds
     }
 }
