--- a/bench/src/main/kotlin/sycamore/bench/recovery/PointWatch.kt
+++ b/bench/src/main/kotlin/sycamore/bench/recovery/PointWatch.kt
@@ -18,9 +18,9 @@
 import sycamore.model.CallId
 import sycamore.model.HostName
 import sycamore.model.Upstream
-import sycamore.platform.KeyValue
-import sycamore.platform.Revision
-import sycamore.platform.Write
+import sycamore.services.KeyValue
+import sycamore.services.Revision
+import sycamore.services.Write
 import kotlin.time.Duration
 
 /**
--- a/bench/src/main/kotlin/sycamore/bench/slopes/CpuSlopes.kt
+++ b/bench/src/main/kotlin/sycamore/bench/slopes/CpuSlopes.kt
@@ -3,10 +3,10 @@
 import sycamore.daemon.InForce
 import sycamore.links.Message
 import sycamore.model.Epoch
-import sycamore.platform.KeyValueWire
-import sycamore.platform.ListedHost
 import sycamore.programs.Segment
 import sycamore.programs.Segments
+import sycamore.services.ListedHost
+import sycamore.services.bodies
 
 /** Processor time of single steps, measured on the daemons' own classes. */
 internal class CpuSlopes(
@@ -33,8 +33,8 @@
     }
 
     private fun hostList(size: Int): Double {
-        val text = KeyValueWire.json.encodeToString(List(size, Samples::host))
-        return Meter.cpuMicros(count) { KeyValueWire.json.decodeFromString<List<ListedHost>>(text) }
+        val text = bodies.encodeToString(List(size, Samples::host))
+        return Meter.cpuMicros(count) { bodies.decodeFromString<List<ListedHost>>(text) }
     }
 
     private fun segment(turns: Int): Double {
--- a/bench/src/main/kotlin/sycamore/bench/slopes/Samples.kt
+++ b/bench/src/main/kotlin/sycamore/bench/slopes/Samples.kt
@@ -24,7 +24,6 @@
 import sycamore.model.ServiceKind
 import sycamore.model.ServiceName
 import sycamore.model.Upstream
-import sycamore.platform.ListedHost
 import sycamore.programs.Answer
 import sycamore.programs.BudgetReserved
 import sycamore.programs.BudgetSettled
@@ -36,6 +35,7 @@
 import sycamore.programs.ProgramStarted
 import sycamore.programs.Record
 import sycamore.programs.Usage
+import sycamore.services.ListedHost
 import kotlin.random.Random
 import kotlin.time.Instant
 
--- a/bench/src/main/kotlin/sycamore/bench/slopes/StateSlopes.kt
+++ b/bench/src/main/kotlin/sycamore/bench/slopes/StateSlopes.kt
@@ -3,12 +3,12 @@
 import sycamore.daemon.InForce
 import sycamore.daemon.Members
 import sycamore.model.Epoch
-import sycamore.platform.KeyValueWire
 import sycamore.programs.CallLedger
 import sycamore.programs.ProgramState
 import sycamore.programs.ProgramTable
 import sycamore.programs.Segment
 import sycamore.programs.Segments
+import sycamore.services.bodies
 import kotlin.time.Duration
 
 /** Memory and encoded bytes of the state that daemons keep, measured on their own classes. */
@@ -73,7 +73,7 @@
                 InForce.encode(Samples.configuration(0, it)).size.toDouble()
             },
             Slope.measure("host_list_size", "any", "bytes", "member", members) {
-                KeyValueWire.json
+                bodies
                     .encodeToString(List(it, Samples::host))
                     .length
                     .toDouble()
--- a/bench/src/main/kotlin/sycamore/bench/spread/SpreadDaemon.kt
+++ b/bench/src/main/kotlin/sycamore/bench/spread/SpreadDaemon.kt
@@ -11,9 +11,9 @@
 import sycamore.links.Role
 import sycamore.links.Unsupported
 import sycamore.model.Host
-import sycamore.platform.KeyValue
-import sycamore.platform.ListedHost
-import sycamore.platform.keyValueClient
+import sycamore.services.KeyValue
+import sycamore.services.ListedHost
+import sycamore.services.keyValueClient
 
 /** The control plane of one daemon, with links over loopback. */
 internal class SpreadDaemon private constructor(
--- a/bench/src/main/kotlin/sycamore/bench/spread/SpreadRun.kt
+++ b/bench/src/main/kotlin/sycamore/bench/spread/SpreadRun.kt
@@ -21,10 +21,10 @@
 import sycamore.model.ServiceKind
 import sycamore.model.ServiceName
 import sycamore.model.Upstream
-import sycamore.platform.KeyValue
-import sycamore.platform.ListedHost
-import sycamore.platform.Read
-import sycamore.platform.Revision
+import sycamore.services.KeyValue
+import sycamore.services.ListedHost
+import sycamore.services.Read
+import sycamore.services.Revision
 import sycamore.standins.KeyValueStore
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
--- a/ctl/src/main/kotlin/sycamore/ctl/AuditCommand.kt
+++ b/ctl/src/main/kotlin/sycamore/ctl/AuditCommand.kt
@@ -5,8 +5,8 @@
 import sycamore.daemon.audit.AuditReader
 import sycamore.daemon.audit.AuditRecord
 import sycamore.model.Units
-import sycamore.platform.KeyValueWire
-import sycamore.platform.Read
+import sycamore.services.Read
+import sycamore.services.bodies
 import kotlin.time.Clock
 import kotlin.time.Instant
 
@@ -40,7 +40,7 @@
 
     private fun print(record: AuditRecord) {
         if (json) {
-            terminal.say(KeyValueWire.json.encodeToString(record))
+            terminal.say(bodies.encodeToString(record))
             return
         }
         val action = record.action.name.lowercase()
--- a/ctl/src/main/kotlin/sycamore/ctl/FleetClient.kt
+++ b/ctl/src/main/kotlin/sycamore/ctl/FleetClient.kt
@@ -10,11 +10,11 @@
 import sycamore.model.HostName
 import sycamore.model.TomlFile
 import sycamore.model.TomlReader
-import sycamore.platform.HttpHostList
-import sycamore.platform.HttpKeyValue
-import sycamore.platform.KeyValue
-import sycamore.platform.ReadHostList
-import sycamore.platform.keyValueClient
+import sycamore.platform.StoreKeyValue
+import sycamore.services.HttpHostList
+import sycamore.services.KeyValue
+import sycamore.services.ReadHostList
+import sycamore.services.keyValueClient
 import java.io.File
 import java.io.IOException
 
@@ -49,7 +49,7 @@
     /** The key-value service. */
     val keys: KeyValue by lazy {
         val address = settings.keyValue ?: throw MisuseException("expected --key-value IP:port, found none")
-        keyValueClient(HttpKeyValue(address, http, Threads.blocking))
+        keyValueClient(StoreKeyValue(address, http, Threads.blocking))
     }
 
     /** The list of hosts, or null when none was named. */
--- a/ctl/src/main/kotlin/sycamore/ctl/ShowCommand.kt
+++ b/ctl/src/main/kotlin/sycamore/ctl/ShowCommand.kt
@@ -5,9 +5,9 @@
 import sycamore.daemon.ConfigurationCodec
 import sycamore.daemon.InForce
 import sycamore.model.Configuration
-import sycamore.platform.Item
-import sycamore.platform.Read
-import sycamore.platform.retryRead
+import sycamore.services.Item
+import sycamore.services.Read
+import sycamore.services.retryRead
 import kotlin.time.Duration.Companion.seconds
 
 /** `sycamorectl show`: prints the published configuration, or what became of a publish. */
--- a/ctl/src/main/kotlin/sycamore/ctl/Survey.kt
+++ b/ctl/src/main/kotlin/sycamore/ctl/Survey.kt
@@ -13,7 +13,7 @@
 import sycamore.links.Sighting
 import sycamore.model.Generation
 import sycamore.model.PlaceName
-import sycamore.platform.ListedHost
+import sycamore.services.ListedHost
 import kotlin.time.Duration.Companion.seconds
 
 /**
--- a/ctl/src/test/kotlin/sycamore/ctl/PublishTest.kt
+++ b/ctl/src/test/kotlin/sycamore/ctl/PublishTest.kt
@@ -18,8 +18,8 @@
 import sycamore.model.ServiceKind
 import sycamore.model.ServiceName
 import sycamore.model.Upstream
-import sycamore.platform.KeyValue
-import sycamore.platform.Read
+import sycamore.services.KeyValue
+import sycamore.services.Read
 import sycamore.standins.FaultyKeyValue
 import sycamore.standins.KeyValueStore
 import kotlin.test.Test
--- a/daemon/src/main/kotlin/sycamore/daemon/ConfigurationCodec.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/ConfigurationCodec.kt
@@ -1,7 +1,7 @@
 package sycamore.daemon
 
 import sycamore.model.Configuration
-import sycamore.platform.KeyValueWire
+import sycamore.services.bodies
 import java.io.ByteArrayOutputStream
 import java.io.IOException
 import java.util.zip.GZIPInputStream
@@ -33,9 +33,9 @@
         }
 
     /** [configuration] as JSON. */
-    fun text(configuration: Configuration): String = KeyValueWire.json.encodeToString(configuration)
+    fun text(configuration: Configuration): String = bodies.encodeToString(configuration)
 
-    private fun parse(bytes: ByteArray): Configuration = KeyValueWire.json.decodeFromString(bytes.decodeToString())
+    private fun parse(bytes: ByteArray): Configuration = bodies.decodeFromString(bytes.decodeToString())
 
     private fun isCompressed(bytes: ByteArray) = bytes.isNotEmpty() && bytes[0] == GZIP_MAGIC
 
--- a/daemon/src/main/kotlin/sycamore/daemon/ControlPlane.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/ControlPlane.kt
@@ -14,7 +14,7 @@
 import sycamore.links.Role
 import sycamore.links.Serve
 import sycamore.model.Host
-import sycamore.platform.KeyValue
+import sycamore.services.KeyValue
 import kotlin.random.Random
 import kotlin.time.Clock
 import kotlin.time.TimeSource
--- a/daemon/src/main/kotlin/sycamore/daemon/Directory.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/Directory.kt
@@ -2,9 +2,9 @@
 
 import sycamore.model.HomeId
 import sycamore.model.HostName
-import sycamore.platform.KeyValue
-import sycamore.platform.Read
 import sycamore.programs.HomeRecord
+import sycamore.services.KeyValue
+import sycamore.services.Read
 import java.util.concurrent.ConcurrentHashMap
 
 /** Finds who serves the programs of homes that have ended. What it learned once stays true, so it is kept. */
--- a/daemon/src/main/kotlin/sycamore/daemon/KeyValueMeters.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/KeyValueMeters.kt
@@ -1,9 +1,9 @@
 package sycamore.daemon
 
 import io.micrometer.core.instrument.FunctionCounter
-import sycamore.platform.CallCounts
-import sycamore.platform.CallKind
-import sycamore.platform.CallOutcome
+import sycamore.services.CallCounts
+import sycamore.services.CallKind
+import sycamore.services.CallOutcome
 
 /** Adds the calls to the key-value service, by kind and outcome. */
 fun Metrics.bindKeyValue(counts: CallCounts) {
--- a/daemon/src/main/kotlin/sycamore/daemon/Members.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/Members.kt
@@ -8,8 +8,8 @@
 import sycamore.model.Address
 import sycamore.model.HostName
 import sycamore.model.PlaceName
-import sycamore.platform.ListedHost
-import sycamore.platform.ReadHostList
+import sycamore.services.ListedHost
+import sycamore.services.ReadHostList
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration.Companion.seconds
 
--- a/daemon/src/main/kotlin/sycamore/daemon/audit/AuditReader.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/audit/AuditReader.kt
@@ -3,11 +3,11 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.flow
-import sycamore.platform.Backoff
-import sycamore.platform.Item
-import sycamore.platform.KeyValue
-import sycamore.platform.Read
-import sycamore.platform.Revision
+import sycamore.services.Backoff
+import sycamore.services.Item
+import sycamore.services.KeyValue
+import sycamore.services.Read
+import sycamore.services.Revision
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
--- a/daemon/src/main/kotlin/sycamore/daemon/audit/AuditRetention.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/audit/AuditRetention.kt
@@ -1,10 +1,10 @@
 package sycamore.daemon.audit
 
-import sycamore.platform.Item
-import sycamore.platform.KeyValue
-import sycamore.platform.Read
-import sycamore.platform.Revision
-import sycamore.platform.Write
+import sycamore.services.Item
+import sycamore.services.KeyValue
+import sycamore.services.Read
+import sycamore.services.Revision
+import sycamore.services.Write
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.days
--- a/daemon/src/main/kotlin/sycamore/daemon/audit/AuditTrail.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/audit/AuditTrail.kt
@@ -6,10 +6,10 @@
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.model.Generation
-import sycamore.platform.Backoff
-import sycamore.platform.KeyValue
-import sycamore.platform.Revision
-import sycamore.platform.Write
+import sycamore.services.Backoff
+import sycamore.services.KeyValue
+import sycamore.services.Revision
+import sycamore.services.Write
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
 import kotlin.time.Clock
--- a/daemon/src/main/kotlin/sycamore/daemon/spread/Spread.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/spread/Spread.kt
@@ -24,11 +24,11 @@
 import sycamore.model.Configuration
 import sycamore.model.ConfigurationDelta
 import sycamore.model.changedBy
-import sycamore.platform.Item
-import sycamore.platform.KeyValue
-import sycamore.platform.Read
-import sycamore.platform.Watched
-import sycamore.platform.watch
+import sycamore.services.Item
+import sycamore.services.KeyValue
+import sycamore.services.Read
+import sycamore.services.Watched
+import sycamore.services.watch
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
--- a/entry/src/main/kotlin/sycamore/entry/AccountLimits.kt
+++ b/entry/src/main/kotlin/sycamore/entry/AccountLimits.kt
@@ -2,7 +2,7 @@
 
 import sycamore.model.Caller
 import sycamore.model.CallerName
-import sycamore.platform.RateLimit
+import sycamore.services.RateLimit
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
--- a/entry/src/main/kotlin/sycamore/entry/EntryWorld.kt
+++ b/entry/src/main/kotlin/sycamore/entry/EntryWorld.kt
@@ -6,7 +6,7 @@
 import sycamore.daemon.Members
 import sycamore.links.Exchange
 import sycamore.model.Host
-import sycamore.platform.KeyValue
+import sycamore.services.KeyValue
 import kotlin.time.Clock
 
 /** All that an [EntryDaemon] meets outside itself. */
--- a/entry/src/test/kotlin/sycamore/entry/EntryFixture.kt
+++ b/entry/src/test/kotlin/sycamore/entry/EntryFixture.kt
@@ -29,9 +29,9 @@
 import sycamore.model.ServiceKind
 import sycamore.model.ServiceName
 import sycamore.model.Upstream
-import sycamore.platform.ListedHost
 import sycamore.programs.Answer
 import sycamore.programs.Usage
+import sycamore.services.ListedHost
 import sycamore.standins.KeyValueStore
 import kotlin.time.Clock
 import kotlin.time.Instant
--- a/entry/src/test/kotlin/sycamore/entry/HomePlacementTest.kt
+++ b/entry/src/test/kotlin/sycamore/entry/HomePlacementTest.kt
@@ -29,8 +29,8 @@
 import sycamore.model.ServiceKind
 import sycamore.model.ServiceName
 import sycamore.model.Upstream
-import sycamore.platform.ListedHost
 import sycamore.programs.Request
+import sycamore.services.ListedHost
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNull
--- /dev/null
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/UpstreamClient.kt
@@ -0,0 +1,179 @@
+package sycamore.forwarding
+
+import jdk.net.ExtendedSocketOptions
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.flow
+import org.eclipse.jetty.client.BytesRequestContent
+import org.eclipse.jetty.client.HttpClient
+import org.eclipse.jetty.client.Response
+import org.eclipse.jetty.client.Result
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP
+import org.eclipse.jetty.http.HttpCookieStore
+import org.eclipse.jetty.io.ClientConnector
+import org.eclipse.jetty.io.Content
+import org.eclipse.jetty.util.thread.QueuedThreadPool
+import sycamore.model.Address
+import sycamore.platform.Header
+import java.io.IOException
+import java.net.StandardSocketOptions
+import java.nio.channels.NetworkChannel
+import java.nio.channels.SelectableChannel
+import java.util.concurrent.CancellationException
+import java.util.concurrent.atomic.AtomicBoolean
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A request to an upstream. */
+class UpstreamRequest(
+    val address: Address,
+    val method: String,
+    val target: String,
+    val headers: List<Header>,
+    val body: ByteArray,
+)
+
+/** What comes of an answer, in order. */
+sealed interface AnswerEvent {
+    /** Its status and headers. */
+    class Head(
+        val status: Int,
+        val headers: List<Header>,
+    ) : AnswerEvent
+
+    /** Bytes of its body. */
+    class Bytes(
+        val bytes: ByteArray,
+    ) : AnswerEvent
+
+    /** The body is whole. [isFramed] is false when only the end of the connection says so. */
+    data class End(
+        val isFramed: Boolean,
+    ) : AnswerEvent
+}
+
+/**
+ * The upstream did not answer in full.
+ *
+ * @property sent whether it may have got the request.
+ */
+class UpstreamException(
+    message: String,
+    val sent: Boolean,
+) : IOException(message)
+
+/** Sends requests to upstreams over connections that are kept open. */
+class UpstreamClient(
+    connectTimeout: Duration = CONNECT_TIMEOUT,
+    idleTimeout: Duration = IDLE_TIMEOUT,
+) : AutoCloseable {
+    private val client =
+        HttpClient(HttpClientTransportOverHTTP(KeepAliveConnector())).apply {
+            isFollowRedirects = false
+            httpCookieStore = HttpCookieStore.Empty()
+            maxConnectionsPerDestination = MAX_CONNECTIONS
+            this.connectTimeout = connectTimeout.inWholeMilliseconds
+            this.idleTimeout = idleTimeout.inWholeMilliseconds
+            executor = QueuedThreadPool(MAX_THREADS, MIN_THREADS)
+            userAgentField = null
+            start()
+            contentDecoderFactories.clear()
+            protocolHandlers.clear()
+        }
+
+    /** Sends [request] and yields its answer. Whoever stops collecting closes the connection. */
+    fun exchange(request: UpstreamRequest): Flow<AnswerEvent> =
+        flow {
+            val answer = Answer()
+            val jetty =
+                client
+                    .newRequest("http://${request.address}${request.target}")
+                    .method(request.method)
+                    .onRequestBegin { answer.sent.set(true) }
+                    .headers { fields -> request.headers.forEach { (name, value) -> fields.add(name, value) } }
+            if (request.body.isNotEmpty()) jetty.body(BytesRequestContent(null as String?, request.body))
+            jetty.send(answer)
+            var isWhole = false
+            try {
+                for (step in answer.steps) {
+                    emit(step.event)
+                    if (step.event is AnswerEvent.End) isWhole = true
+                    step.demand?.run()
+                }
+            } finally {
+                if (!isWhole) jetty.abort(CancellationException("the answer is not wanted any more"))
+            }
+        }
+
+    override fun close() = client.stop()
+
+    private class Step(
+        val event: AnswerEvent,
+        val demand: Runnable? = null,
+    )
+
+    /** Hands what Jetty reads to the collector, one piece at a time. */
+    private class Answer : Response.Listener {
+        val steps = Channel<Step>(Channel.UNLIMITED)
+        val sent = AtomicBoolean()
+        private var isFramed = true
+
+        override fun onHeaders(response: Response) {
+            isFramed = response.headers.contains("Content-Length") || response.headers.contains("Transfer-Encoding")
+            val headers = response.headers.map { it.name to it.value.orEmpty() }
+            steps.trySend(Step(AnswerEvent.Head(response.status, headers)))
+        }
+
+        override fun onContent(
+            response: Response,
+            chunk: Content.Chunk,
+            demander: Runnable,
+        ) {
+            val buffer = chunk.byteBuffer
+            val bytes = ByteArray(buffer.remaining())
+            buffer.get(bytes)
+            steps.trySend(Step(AnswerEvent.Bytes(bytes), demander))
+        }
+
+        override fun onComplete(result: Result) {
+            if (result.isSucceeded) {
+                steps.trySend(Step(AnswerEvent.End(isFramed)))
+                steps.close()
+            } else {
+                val failure = result.failure
+                steps.close(UpstreamException(failure.message ?: failure.toString(), sent.get()))
+            }
+        }
+    }
+
+    /** Has the system probe connections, since those that went silent give no other sign. */
+    private class KeepAliveConnector : ClientConnector() {
+        override fun configure(channel: SelectableChannel) {
+            super.configure(channel)
+            val socket = channel as? NetworkChannel ?: return
+            socket.setOption(StandardSocketOptions.SO_KEEPALIVE, true)
+            socket.setOption(ExtendedSocketOptions.TCP_KEEPIDLE, PROBE_SECONDS)
+            socket.setOption(ExtendedSocketOptions.TCP_KEEPINTERVAL, PROBE_SECONDS)
+            socket.setOption(ExtendedSocketOptions.TCP_KEEPCOUNT, PROBES)
+        }
+    }
+
+    private companion object {
+        /** The farthest upstream is 24 ms away there and back; a lost first packet is sent again after a second. */
+        val CONNECT_TIMEOUT = 1200.milliseconds
+
+        /** An upstream closes idle connections by itself; this only bounds what is left of those that vanished. */
+        val IDLE_TIMEOUT = 30.seconds
+
+        /** Below what an upstream accepts from all callers together. */
+        const val MAX_CONNECTIONS = 64
+
+        const val MAX_THREADS = 8
+        const val MIN_THREADS = 2
+
+        /** A silent connection is given up after this long without traffic, and as often again for each probe. */
+        const val PROBE_SECONDS = 1
+        const val PROBES = 2
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/sycamore/gateway/AcceptedCall.kt
@@ -0,0 +1,30 @@
+package sycamore.gateway
+
+import sycamore.model.ServiceName
+import sycamore.platform.Header
+import sycamore.routing.CallerHead
+import sycamore.routing.Route
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+
+/**
+ * A caller's call that a route takes.
+ *
+ * @property target path and query as the caller sent them.
+ * @property forwarded headers that its upstream gets.
+ * @property service the one of the route's services that it goes to.
+ * @property until when it has to be answered: the caller's deadline, or the route's timeout if that is earlier.
+ */
+internal class AcceptedCall(
+    val route: Route,
+    val service: ServiceName,
+    val head: CallerHead,
+    val method: String,
+    val target: String,
+    val forwarded: List<Header>,
+    val body: ByteArray,
+    val until: ComparableTimeMark,
+) {
+    /** Time until the call has to be answered. */
+    val timeLeft: Duration get() = -until.elapsedNow()
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
@@ -0,0 +1,145 @@
+package sycamore.gateway
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.job
+import sycamore.forwarding.BodyTooLargeException
+import sycamore.forwarding.CallerExchange
+import sycamore.forwarding.UpstreamClient
+import sycamore.links.Exchange
+import sycamore.model.ServiceName
+import sycamore.platform.CallHeaders
+import sycamore.platform.HostSettings
+import sycamore.routing.CallerHead
+import sycamore.routing.CallerLimits
+import sycamore.routing.Route
+import sycamore.routing.RouteTable
+import sycamore.services.KeyValue
+import kotlin.random.Random
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+private val log = KotlinLogging.logger {}
+
+/** Serves callers: finds the route of each request and has it answered by an upstream. */
+class Gateway(
+    settings: HostSettings,
+    keys: KeyValue,
+    exchange: Exchange,
+    client: UpstreamClient,
+    private val time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+) {
+    /** The routes. */
+    val routes = RoutesInForce(keys)
+
+    /** The upstreams. */
+    val upstreams = UpstreamDirectory(keys, time)
+
+    internal val board = GateBoard(upstreams, routes, exchange, settings.firstPort, time)
+    private val homes = ProgramHomes(settings.place.name, board, keys, exchange)
+    private val plain = PlainCalls(upstreams, UpstreamLoads(settings.place.name, time), client)
+    private val turns = TurnCalls(settings.place.name, homes, board, ::engine, exchange)
+
+    /** Whether callers may be sent here. */
+    val isReady: Boolean get() = routes.table.value != null && upstreams.isRead
+
+    /** What callers may send now. */
+    fun limits(): CallerLimits = routes.table.value?.limits ?: FIRST_LIMITS
+
+    /** Serves one request. */
+    suspend fun serve(caller: CallerExchange) {
+        val arrived = time.markNow()
+        val head = CallHeaders.decode(caller.headers)
+        val table = routes.table.value
+        if (table == null) {
+            log.info { "call ${head.id} refused: no configuration is known yet" }
+            return caller.answer(OwnAnswer.NOT_RUN, "no configuration is known yet", head.id, START_RETRY)
+        }
+        val route = table.find(caller.host, caller.target)
+        if (route == null) {
+            log.info { "call ${head.id} refused: no route at ${table.generation} for ${caller.host}${caller.target}" }
+            return caller.answer(OwnAnswer.NOT_FOUND, "no such route", head.id)
+        }
+        if (head.id == null) return caller.answer(OwnAnswer.BAD_REQUEST, "expected a request id, found none", null)
+        val body =
+            try {
+                caller.readBody(table.limits.bodyBytes)
+            } catch (e: BodyTooLargeException) {
+                return caller.answer(OwnAnswer.TOO_LARGE, e.message!!, head.id)
+            }
+        val job = currentCoroutineContext().job
+        caller.watchCaller { job.cancel() }
+        serve(caller, accept(caller, route, head, body, arrived))
+    }
+
+    private fun accept(
+        caller: CallerExchange,
+        route: Route,
+        head: CallerHead,
+        body: ByteArray,
+        arrived: ComparableTimeMark,
+    ): AcceptedCall {
+        val limit = minOf(head.timeLeft ?: Duration.INFINITE, route.timeout)
+        return AcceptedCall(
+            route = route,
+            service = serviceOf(route, head),
+            head = head,
+            method = caller.method,
+            target = caller.target,
+            forwarded = CallHeaders.forwarded(caller.headers),
+            body = body,
+            until = arrived + limit,
+        )
+    }
+
+    private suspend fun serve(
+        caller: CallerExchange,
+        call: AcceptedCall,
+    ) {
+        val program = call.head.program
+        if (call.route.retention != null && program != null) {
+            turns.serve(caller, call, program, call.head.id!!)
+        } else {
+            plain.serve(caller, call)
+        }
+    }
+
+    /** A program stays with one of a route's services, since the other's engines do not hold its cache. */
+    private fun serviceOf(
+        route: Route,
+        head: CallerHead,
+    ): ServiceName {
+        val total = route.services.sumOf { it.weight }
+        val program = head.program
+        var point = if (program == null) Random.nextInt(total) else Math.floorMod(program.value.hashCode(), total)
+        for (part in route.services) {
+            if (point < part.weight) return part.service
+            point -= part.weight
+        }
+        return route.services.last().service
+    }
+
+    private fun engine(call: AcceptedCall) = engineOf(routes.table.value, call.service)
+
+    private fun engineOf(
+        table: RouteTable?,
+        service: ServiceName,
+    ) = table?.services?.get(service)?.engine
+
+    private companion object {
+        /** Until a configuration is known. */
+        val FIRST_LIMITS =
+            CallerLimits(
+                headerBytes = 16_384,
+                bodyBytes = 4_194_304,
+                headerTimeout = 3.seconds,
+                idleTimeout = 15.seconds,
+            )
+
+        /** A daemon that starts reads the configuration within this time. */
+        val START_RETRY = 300.milliseconds
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
@@ -0,0 +1,349 @@
+package sycamore.gateway
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import sycamore.forwarding.CallerExchange
+import sycamore.links.Exchange
+import sycamore.links.HeaderField
+import sycamore.links.HomeAt
+import sycamore.links.LinkException
+import sycamore.links.Message
+import sycamore.links.RunTurn
+import sycamore.links.TurnBegun
+import sycamore.links.TurnBroke
+import sycamore.links.TurnBytes
+import sycamore.links.TurnRefusal
+import sycamore.links.TurnRefused
+import sycamore.links.TurnWhole
+import sycamore.model.Address
+import sycamore.model.PlaceName
+import sycamore.routing.AttemptId
+import sycamore.routing.EngineProfile
+import sycamore.routing.ProgramName
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+private val log = KotlinLogging.logger {}
+
+/** Sends turns of programs to their homes and passes the answers on. */
+internal class TurnCalls(
+    private val place: PlaceName,
+    private val homes: ProgramHomes,
+    private val board: GateBoard,
+    private val engines: (AcceptedCall) -> EngineProfile?,
+    private val exchange: Exchange,
+) {
+    /** Serves [call], a turn of [program] named [turn]. */
+    suspend fun serve(
+        caller: CallerExchange,
+        call: AcceptedCall,
+        program: ProgramName,
+        turn: AttemptId,
+    ) = Attempts(caller, call, program, turn).run()
+
+    /** How sending a turn to a home ended. */
+    private sealed interface Sent {
+        /** The caller has its last word. */
+        data object Done : Sent
+
+        /** The turn did not run; it may be sent elsewhere. */
+        class Elsewhere(
+            val reason: String,
+        ) : Sent
+
+        /** The home cannot be reached, and never got the turn. */
+        class Unreachable(
+            val reason: String,
+        ) : Sent
+    }
+
+    private inner class Attempts(
+        private val caller: CallerExchange,
+        private val call: AcceptedCall,
+        private val program: ProgramName,
+        private val turn: AttemptId,
+    ) {
+        private val excluded = HashSet<Address>()
+        private var lastReason = "no engine takes turns"
+
+        suspend fun run() {
+            while (call.timeLeft > LEAST_TIME) {
+                when (val located = locate()) {
+                    Located.NoSuchTurn -> return noSuchTurn()
+                    is Located.NotNow -> {
+                        lastReason = located.reason
+                        if (call.timeLeft < PATIENCE) return notNow(located.reason)
+                        delay(PAUSE)
+                    }
+                    is Located.At -> if (send(located.home, located.previousAt)) return
+                    is Located.Nowhere -> {
+                        val home = newHome()
+                        if (home == null) {
+                            if (call.timeLeft < PATIENCE) return notNow(lastReason)
+                            delay(PAUSE)
+                        } else if (send(home, located.previousAt)) {
+                            return
+                        }
+                    }
+                }
+            }
+            notNow(lastReason)
+        }
+
+        private suspend fun locate(): Located {
+            val home = homes.known(program)
+            return when {
+                home != null -> Located.At(home, null)
+                call.head.previous == null -> Located.Nowhere(null)
+                else -> homes.locate(program, call.head.previous)
+            }
+        }
+
+        private fun newHome(): HomeAt? {
+            val host =
+                board.all
+                    .filter { isUsable(it) && it.address !in excluded }
+                    .minByOrNull { cost(it) }
+            return host?.let { HomeAt(it.status!!.home!!, it.address) }
+        }
+
+        private fun isUsable(host: EngineHost): Boolean {
+            val status = host.status ?: return false
+            return status.home != null &&
+                !status.isLeaving &&
+                !host.upstream.isLeaving &&
+                host.upstream.service == call.service
+        }
+
+        private fun cost(host: EngineHost): Double {
+            val status = host.status!!
+            val distance = if (host.upstream.place == place) Duration.ZERO else DISTANCE
+            val load = LOAD * (status.running + status.waiting + host.placed)
+            return (status.wait + distance + load).inWholeMicroseconds.toDouble()
+        }
+
+        /** Sends the turn to [home]; true when the caller has its answer. */
+        private suspend fun send(
+            home: HomeAt,
+            previousAt: HomeAt?,
+        ): Boolean {
+            val target = target(home)
+            if (target == null) {
+                lastReason = "no engine of ${call.service} takes turns"
+                delay(PAUSE)
+                return false
+            }
+            return when (val sent = sendTo(home, previousAt, target)) {
+                Sent.Done -> true
+                is Sent.Elsewhere -> {
+                    lastReason = sent.reason
+                    log.info { "turn $turn goes elsewhere: ${sent.reason}" }
+                    delay(PAUSE)
+                    false
+                }
+                is Sent.Unreachable -> {
+                    lastReason = sent.reason
+                    log.info { "turn $turn: home ${home.home} cannot be reached: ${sent.reason}" }
+                    board.lost(home.address)
+                    if (homes.known(program) == home) {
+                        homes.takeOver(home) ?: delay(PAUSE)
+                    } else {
+                        excluded += home.address
+                    }
+                    false
+                }
+            }
+        }
+
+        /** The engine beside [home] if it takes turns of the service, or else the best other one. */
+        private fun target(home: HomeAt): EngineHost? {
+            val own = board.at(home.address)
+            if (own != null &&
+                !own.upstream.isLeaving &&
+                own.upstream.service == call.service &&
+                own.address !in excluded
+            ) {
+                return own
+            }
+            return board.all.filter { isUsable(it) && it.address !in excluded }.minByOrNull { cost(it) }
+        }
+
+        private suspend fun sendTo(
+            home: HomeAt,
+            previousAt: HomeAt?,
+            target: EngineHost,
+        ): Sent {
+            val message = message(previousAt, target)
+            board.placed(target.address)
+            var sent: Sent = Sent.Done
+            var isAnswered = false
+            try {
+                val isInTime =
+                    withTimeoutOrNull(call.timeLeft) {
+                        exchange(home.address, message).collect { reply ->
+                            when (reply) {
+                                is TurnRefused -> {
+                                    sent = refused(reply, home, target)
+                                    isAnswered = true
+                                }
+                                else -> isAnswered = pass(reply, home) || isAnswered
+                            }
+                        }
+                        true
+                    }
+                if (isInTime == null) {
+                    tooLate()
+                } else if (!isAnswered) {
+                    broke("the home ended without an answer")
+                }
+                return sent
+            } catch (e: LinkException) {
+                if (!e.sent) return Sent.Unreachable(e.message!!)
+                board.lost(home.address)
+                broke("the home was lost: ${e.message}")
+                return Sent.Done
+            }
+        }
+
+        private fun message(
+            previousAt: HomeAt?,
+            target: EngineHost,
+        ): RunTurn {
+            val profile = engines(call)
+            return RunTurn(
+                program = program,
+                turn = turn,
+                previous = call.head.previous,
+                previousAt = previousAt,
+                target = target.upstream,
+                targetHost = target.address,
+                engineSlots = profile?.slots ?: target.upstream.slots,
+                tokensPerEvent = profile?.tokensPerEvent ?: 1,
+                tokenBudget = call.head.tokenBudget,
+                mostTokens = call.head.maxOutputTokens ?: 0,
+                promptTokens = call.head.promptTokens ?: 0,
+                priority = call.route.priority,
+                finishIn = call.head.finishIn,
+                timeLeft = call.timeLeft - MARGIN,
+                method = call.method,
+                path = call.target,
+                headers = call.forwarded.map { HeaderField(it.first, it.second) },
+                input = call.body,
+            )
+        }
+
+        /** Passes [reply] on; true when it is the last one. */
+        private suspend fun pass(
+            reply: Message,
+            home: HomeAt,
+        ): Boolean {
+            when (reply) {
+                is TurnBegun -> {
+                    homes.learn(program, home)
+                    caller.begin(reply.status, reply.headers.map { it.name to it.value })
+                }
+                is TurnBytes -> caller.write(reply.bytes)
+                is TurnWhole -> {
+                    caller.end()
+                    return true
+                }
+                is TurnBroke -> {
+                    homes.learn(program, home)
+                    broke(reply.reason)
+                    return true
+                }
+                else -> Unit
+            }
+            return false
+        }
+
+        private suspend fun refused(
+            reply: TurnRefused,
+            home: HomeAt,
+            target: EngineHost,
+        ): Sent {
+            when (reply.reason) {
+                TurnRefusal.BUDGET_SPENT -> {
+                    log.info { "turn $turn refused: ${reply.detail}" }
+                    caller.answer(OwnAnswer.BUDGET_SPENT, reply.detail, turn)
+                }
+                TurnRefusal.NO_SUCH_TURN -> return missing(reply, home)
+                TurnRefusal.NOT_NOW -> {
+                    log.info { "turn $turn refused: ${reply.detail}" }
+                    caller.answer(OwnAnswer.NOT_RUN, reply.detail, turn, reply.retryAfter ?: RETRY_AFTER)
+                }
+                TurnRefusal.TARGET_GONE -> {
+                    excluded += target.address
+                    return Sent.Elsewhere(reply.detail)
+                }
+                TurnRefusal.NOT_HERE -> {
+                    homes.forget(program)
+                    return Sent.Elsewhere(reply.detail)
+                }
+            }
+            return Sent.Done
+        }
+
+        /** The program's home does not have the turn that this one continues; another home may. */
+        private suspend fun missing(
+            reply: TurnRefused,
+            home: HomeAt,
+        ): Sent =
+            when (val located = homes.locate(program, call.head.previous)) {
+                Located.NoSuchTurn -> {
+                    noSuchTurn()
+                    Sent.Done
+                }
+                is Located.At ->
+                    if (located.previousAt == null || located.previousAt.home == home.home) {
+                        Sent.Elsewhere(reply.detail)
+                    } else {
+                        if (send(located.home, located.previousAt)) Sent.Done else Sent.Elsewhere(reply.detail)
+                    }
+                else -> Sent.Elsewhere(reply.detail)
+            }
+
+        private suspend fun noSuchTurn() {
+            log.info { "turn $turn refused: no turn ${call.head.previous} is kept anywhere" }
+            caller.answer(OwnAnswer.NOT_FOUND, "no turn ${call.head.previous} is kept", turn)
+        }
+
+        private suspend fun notNow(reason: String) {
+            log.info { "turn $turn refused: $reason" }
+            caller.answer(OwnAnswer.NOT_RUN, reason, turn, RETRY_AFTER)
+        }
+
+        private suspend fun tooLate() {
+            log.info { "turn $turn was not answered in time" }
+            if (caller.isBegun) {
+                caller.cut("the turn was not answered in time")
+            } else {
+                caller.answer(OwnAnswer.TOO_LATE, "the turn was not answered in time", turn)
+            }
+        }
+
+        private suspend fun broke(reason: String) {
+            log.info { "turn $turn broke off: $reason" }
+            if (caller.isBegun) caller.cut(reason) else caller.answer(OwnAnswer.BROKEN, reason, turn)
+        }
+    }
+
+    private companion object {
+        val LEAST_TIME = 30.milliseconds
+
+        /** The home answers by itself this much before the caller's time is over. */
+        val MARGIN = 60.milliseconds
+
+        /** A turn waits for its home while this much of its time is left; then its caller is told to come back. */
+        val PATIENCE = 1200.milliseconds
+        val PAUSE = 100.milliseconds
+        val RETRY_AFTER = 400.milliseconds
+
+        /** What an engine in another region costs in time: the way there and back, and bytes that are paid for. */
+        val DISTANCE = 60.milliseconds
+
+        /** What each turn at an engine adds to the time of another. */
+        val LOAD = 6.milliseconds
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/sycamore/gateway/UpstreamDirectory.kt
@@ -0,0 +1,130 @@
+package sycamore.gateway
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.collections.immutable.ImmutableMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toImmutableMap
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import sycamore.model.Address
+import sycamore.model.ServiceName
+import sycamore.platform.StoreKeys
+import sycamore.platform.UpstreamEntries
+import sycamore.routing.ListedUpstream
+import sycamore.routing.UpstreamId
+import sycamore.services.Item
+import sycamore.services.KeyValue
+import sycamore.services.Watched
+import sycamore.services.watch
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeMark
+import kotlin.time.TimeSource
+
+private val log = KotlinLogging.logger {}
+
+/** The upstreams that registered themselves, as far as this process knows. */
+class UpstreamDirectory(
+    private val keys: KeyValue,
+    private val time: TimeSource = TimeSource.Monotonic,
+) {
+    @Volatile
+    private var listed: ImmutableMap<UpstreamId, ListedUpstream> = persistentMapOf()
+
+    private var unreachableSince: TimeMark? = null
+
+    /** Whether the list was read once. */
+    @Volatile
+    var isRead = false
+        private set
+
+    /** All upstreams. */
+    val all: Collection<ListedUpstream> get() = listed.values
+
+    /** Upstreams of [service] that take calls. */
+    fun of(service: ServiceName): List<ListedUpstream> = listed.values.filter { it.service == service && !it.isLeaving }
+
+    /** The upstream at [address], leaving ones too. */
+    fun at(address: Address): ListedUpstream? = listed.values.firstOrNull { it.address == address }
+
+    /** Whether [id] still takes calls. */
+    fun isOpen(id: UpstreamId): Boolean = listed[id]?.isLeaving == false
+
+    /** Follows the registrations until cancelled. */
+    suspend fun run(scope: CoroutineScope) {
+        keys.watch(StoreKeys.UPSTREAMS).collect { watched ->
+            when (watched) {
+                is Watched.Snapshot -> replace(scope, watched.items.mapNotNull(UpstreamEntries::decode))
+                is Watched.Changes -> watched.items.forEach(::change)
+                is Watched.Unreachable -> unreachable(watched.reason)
+            }
+        }
+    }
+
+    private fun unreachable(reason: String) {
+        if (unreachableSince != null) return
+        unreachableSince = time.markNow()
+        log.info { "the upstreams cannot be followed now: $reason" }
+    }
+
+    /**
+     * Takes over a whole list. Registrations lapse while the store is away, and live upstreams renew them after its
+     * return, so those that are missing then are kept for a while.
+     */
+    private fun replace(
+        scope: CoroutineScope,
+        upstreams: List<ListedUpstream>,
+    ) {
+        val outage = unreachableSince?.elapsedNow() ?: Duration.ZERO
+        unreachableSince = null
+        isRead = true
+        val present = upstreams.associateBy { it.id }
+        val missing = listed - present.keys
+        listed = (if (outage > SHORT_OUTAGE) present + missing else present).toImmutableMap()
+        log.info { "${present.size} upstreams are registered, ${missing.size} former ones are not" }
+        if (outage > SHORT_OUTAGE && missing.isNotEmpty()) {
+            scope.launch {
+                delay(RETURN)
+                drop(missing, seen = present.keys)
+            }
+        }
+    }
+
+    /** Drops those of [missing] that have not registered again. */
+    private fun drop(
+        missing: Map<UpstreamId, ListedUpstream>,
+        seen: Set<UpstreamId>,
+    ) {
+        val gone = missing.filter { (id, upstream) -> id !in seen && listed[id] === upstream }
+        if (gone.isEmpty()) return
+        listed = (listed - gone.keys).toImmutableMap()
+        log.info { "upstreams ${gone.keys} did not register again and count as gone" }
+    }
+
+    private fun change(item: Item) {
+        val id = UpstreamId(item.key.removePrefix(StoreKeys.UPSTREAMS))
+        val upstream = if (item.value == null) null else UpstreamEntries.decode(item)
+        val known = listed[id]
+        if (upstream == null) {
+            if (known != null) {
+                listed = (listed - id).toImmutableMap()
+                log.info { "upstream $id of ${known.service} at ${known.address} is gone" }
+            }
+            return
+        }
+        listed = (listed + (id to upstream)).toImmutableMap()
+        if (known == null || known.isLeaving != upstream.isLeaving || known.bornMillis != upstream.bornMillis) {
+            val state = if (upstream.isLeaving) "leaves" else "takes calls"
+            log.info { "upstream $id of ${upstream.service} at ${upstream.address} in ${upstream.place} $state" }
+        }
+    }
+
+    private companion object {
+        /** A cut watch is followed again within this time; registrations do not lapse in it. */
+        val SHORT_OUTAGE = 1000.milliseconds
+
+        /** Live upstreams are registered again within about two seconds of the store's return. */
+        val RETURN = 2000.milliseconds
+    }
+}
--- /dev/null
+++ b/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
@@ -0,0 +1,183 @@
+package sycamore.homes
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.FlowCollector
+import kotlinx.coroutines.flow.emitAll
+import kotlinx.coroutines.flow.firstOrNull
+import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.flow.flowOf
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import sycamore.forwarding.UpstreamClient
+import sycamore.links.AskGate
+import sycamore.links.AskPrompt
+import sycamore.links.Exchange
+import sycamore.links.FindProgram
+import sycamore.links.GateStatus
+import sycamore.links.HomeAt
+import sycamore.links.HomeTaken
+import sycamore.links.LinkException
+import sycamore.links.Message
+import sycamore.links.ProgramFound
+import sycamore.links.Prompt
+import sycamore.links.RunPrompt
+import sycamore.links.RunTurn
+import sycamore.links.TakeHome
+import sycamore.links.TurnRefusal
+import sycamore.links.TurnRefused
+import sycamore.links.Unsupported
+import sycamore.model.HomeId
+import sycamore.model.HostName
+import sycamore.model.Incarnation
+import sycamore.platform.HostSettings
+import sycamore.services.KeyValue
+import sycamore.services.Read
+import sycamore.turns.HomeEntry
+import sycamore.turns.HomeKeys
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+private val log = KotlinLogging.logger {}
+
+/** The daemon beside an engine: home of programs, and gate of the engine. */
+class HomeDaemon(
+    private val settings: HostSettings,
+    private val keys: KeyValue,
+    private val exchange: Exchange,
+    client: UpstreamClient,
+    private val scope: CoroutineScope,
+    private val time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+) {
+    private val gate = EngineGate(time)
+    private val gates = GateRunner(settings.upstream, gate, client, exchange, time)
+    private val retainers = RetainerDirectory(keys, settings.place.name) { home.journal.check() }
+    private val takeovers = HomeTakeovers(keys, exchange, scope, time) { home }
+    private val turns = AtomicInteger()
+
+    @Volatile
+    private var home = newHome()
+
+    @Volatile
+    private var hasFormer = true
+
+    @Volatile
+    private var isLeaving = false
+
+    /** Answers a message of another daemon. */
+    fun serve(
+        @Suppress("UNUSED_PARAMETER") from: HostName,
+        message: Message,
+    ): Flow<Message> =
+        when (message) {
+            is RunTurn -> flow { run(message) }
+            is RunPrompt -> gates.atOwn(message.call, message.prompt)
+            is AskGate -> flowOf(status())
+            is FindProgram -> flowOf(find(message))
+            is AskPrompt -> flowOf(Prompt(home.table.promptAfter(message.turn)))
+            is TakeHome -> flow { emit(takeovers.take(message)) }
+            else -> flowOf(Unsupported)
+        }
+
+    /** Does the daemon's background work until cancelled. */
+    suspend fun run() {
+        scope.launch { retainers.run() }
+        while (true) {
+            val current = home
+            val taking =
+                scope.launch {
+                    takeovers.takeFormer(current.id)
+                    hasFormer = false
+                }
+            current.run()
+            taking.cancel()
+            home = newHome()
+        }
+    }
+
+    /** Stops in the planned way: takes no new turns, ends those under way, and hands its programs to another home. */
+    suspend fun stop() {
+        isLeaving = true
+        withTimeoutOrNull(settings.bounds.grace / 2) { while (turns.get() > 0) delay(CHECK) }
+        handOver()
+        delay(LAST_REPLIES)
+    }
+
+    private fun newHome(): TurnHome {
+        val id = HomeId(settings.place.name, settings.name, Incarnation.random())
+        return TurnHome(id, settings.links, settings.place.name, keys, retainers, exchange, time)
+    }
+
+    private suspend fun FlowCollector<Message>.run(call: RunTurn) {
+        val home = home
+        if (!home.isReady || isLeaving) {
+            val reason = if (isLeaving) "the host is leaving" else "the home is not registered yet"
+            return emit(TurnRefused(TurnRefusal.NOT_HERE, reason))
+        }
+        turns.incrementAndGet()
+        try {
+            emitAll(TurnRunner(home, gates::send, exchange).run(call))
+        } catch (e: HomeEndedException) {
+            log.warn { "turn ${call.turn} broke off: ${e.message}" }
+            emit(TurnRefused(TurnRefusal.NOT_HERE, e.message!!))
+        } finally {
+            turns.decrementAndGet()
+        }
+    }
+
+    private fun status(): GateStatus =
+        GateStatus(home.id.takeIf { home.isReady }, gate.running, gate.waiting, gate.expectedWait, isLeaving)
+
+    private fun find(message: FindProgram): ProgramFound {
+        val home = home
+        return ProgramFound(
+            home = home.id.takeIf { home.isReady },
+            hasProgram = home.table.has(message.program),
+            hasPrevious = message.previous?.let { home.table.programWithWhole(it) } != null,
+            isComplete = !hasFormer && !takeovers.isBusy,
+        )
+    }
+
+    private suspend fun handOver() {
+        val current = home
+        if (!current.isReady || current.table.size == 0) return
+        val others = otherHomes(current)
+        for (other in others) {
+            val order = TakeHome(HomeAt(current.id, current.address), isWilling = true)
+            val reply =
+                try {
+                    withTimeoutOrNull(HAND_OVER_LIMIT) { exchange(other.address, order).firstOrNull() }
+                } catch (e: LinkException) {
+                    log.info { "${other.home} cannot take over: ${e.message}" }
+                    null
+                }
+            if (reply is HomeTaken) {
+                current.journal.end(reply.successor.home)
+                return
+            }
+        }
+        log.warn { "no home took over the programs of ${current.id}" }
+    }
+
+    /** Homes that serve, those of this place first. */
+    private suspend fun otherHomes(current: TurnHome): List<HomeEntry> {
+        val read = keys.list(HomeKeys.PREFIX) as? Read.Found ?: return emptyList()
+        return read.value
+            .mapNotNull { it.value?.let(HomeKeys::decode) }
+            .filter { it.successor == null && it.home != current.id && it.home.host != settings.name }
+            .sortedBy { if (it.home.place == settings.place.name) 0 else 1 }
+    }
+
+    private companion object {
+        val CHECK = 20.milliseconds
+        val HAND_OVER_LIMIT: Duration = 1500.milliseconds
+
+        /** What was written last leaves the process within this time. */
+        val LAST_REPLIES = 0.2.seconds
+    }
+}
--- /dev/null
+++ b/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
@@ -0,0 +1,230 @@
+package sycamore.homes
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.firstOrNull
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import sycamore.links.AskGate
+import sycamore.links.Declined
+import sycamore.links.DropHome
+import sycamore.links.EndHome
+import sycamore.links.Exchange
+import sycamore.links.GateStatus
+import sycamore.links.HomeAt
+import sycamore.links.HomeTaken
+import sycamore.links.LinkException
+import sycamore.links.Message
+import sycamore.links.RecordsOf
+import sycamore.links.TakeHome
+import sycamore.model.Address
+import sycamore.model.HomeId
+import sycamore.services.Item
+import sycamore.services.KeyValue
+import sycamore.services.Read
+import sycamore.services.Revision
+import sycamore.services.Write
+import sycamore.turns.HomeEntry
+import sycamore.turns.HomeKeys
+import sycamore.turns.LogRecord
+import sycamore.turns.Retainer
+import sycamore.turns.RetainerId
+import sycamore.turns.TurnRecords
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+private val log = KotlinLogging.logger {}
+
+/** Takes over the programs of homes that are lost or leave. */
+internal class HomeTakeovers(
+    private val keys: KeyValue,
+    private val exchange: Exchange,
+    private val scope: CoroutineScope,
+    private val time: TimeSource,
+    private val self: () -> TurnHome,
+) {
+    private val seals = LogSeals(keys)
+    private val running = ConcurrentHashMap<HomeId, CompletableDeferred<Message>>()
+    private val finished = ConcurrentHashMap<HomeId, HomeAt>()
+    private val claimed = AtomicInteger()
+
+    /** Whether homes were claimed whose programs are not here yet. */
+    val isBusy: Boolean get() = claimed.get() > 0
+
+    /** Takes over the home that [order] names, unless it is alive or another host has done so. */
+    suspend fun take(order: TakeHome): Message {
+        val lost = order.lost.home
+        val result = CompletableDeferred<Message>()
+        val other = running.putIfAbsent(lost, result)
+        if (other != null) return other.await()
+        scope.launch {
+            try {
+                result.complete(attempt(order))
+            } finally {
+                running.remove(lost)
+                result.complete(Declined("the takeover of $lost failed", RETRY))
+            }
+        }
+        return result.await()
+    }
+
+    /** Takes over former homes of this host, which nobody else has taken over. */
+    suspend fun takeFormer(own: HomeId) {
+        while (true) {
+            val entries = entries()
+            if (entries == null) {
+                delay(RETRY)
+                continue
+            }
+            val former = entries.filter { it.home.host == own.host && it.home != own && it.successor == null }
+            if (former.isEmpty()) return
+            former.forEach { take(TakeHome(HomeAt(it.home, it.address), isWilling = true)) }
+            delay(RETRY)
+        }
+    }
+
+    private suspend fun entries(): List<HomeEntry>? =
+        (keys.list(HomeKeys.PREFIX) as? Read.Found)?.value?.mapNotNull { it.value?.let(HomeKeys::decode) }
+
+    private suspend fun attempt(order: TakeHome): Message {
+        val lost = order.lost
+        val home = self()
+        finished[lost.home]?.takeIf { it.home == home.id }?.let { return HomeTaken(lost.home, it) }
+        if (lost.home == home.id) return Declined("${lost.home} is alive")
+        if (!home.isReady) return Declined("${home.id} is not ready", RETRY)
+        if (!order.isWilling && isAlive(lost)) return Declined("${lost.home} is alive", RETRY)
+        val entry = claim(lost, home) ?: return Declined("the key-value service does not answer", RETRY)
+        val successor = entry.successor!!
+        if (successor != home.id) return HomeTaken(lost.home, HomeAt(successor, entry.successorAddress!!))
+        claimed.incrementAndGet()
+        try {
+            recoverUntilDone(lost.home, home)
+        } finally {
+            claimed.decrementAndGet()
+        }
+        val at = HomeAt(home.id, home.address)
+        finished[lost.home] = at
+        return HomeTaken(lost.home, at)
+    }
+
+    private suspend fun isAlive(lost: HomeAt): Boolean {
+        val status = ask(lost.address, AskGate, ALIVE_LIMIT) as? GateStatus
+        return status?.home == lost.home
+    }
+
+    /** The entry of [lost] once it names a successor; null when that cannot be told now. */
+    private suspend fun claim(
+        lost: HomeAt,
+        home: TurnHome,
+    ): HomeEntry? {
+        val key = HomeKeys.key(lost.home)
+        val item = (keys.get(key) as? Read.Found ?: return null).value
+        val entry = item?.value?.let(HomeKeys::decode)
+        if (entry?.successor != null) return entry
+        val claim = HomeEntry(lost.home, lost.address, home.id, home.address)
+        return when (val write = keys.put(key, HomeKeys.encode(claim), item?.version ?: Revision.ABSENT)) {
+            is Write.Taken -> claim.also { log.info { "${home.id} claimed ${lost.home}" } }
+            is Write.Conflict -> write.current?.successorEntry()
+            is Write.NotSent -> null
+            is Write.NotKnown -> (keys.get(key) as? Read.Found)?.value?.successorEntry()
+        }
+    }
+
+    private fun Item.successorEntry(): HomeEntry? = value?.let(HomeKeys::decode)?.takeIf { it.successor != null }
+
+    /** A home that was claimed gets no other successor, so its claimant goes on until the programs are here. */
+    private suspend fun recoverUntilDone(
+        lost: HomeId,
+        home: TurnHome,
+    ) {
+        val began = time.markNow()
+        while (!recover(lost, home)) {
+            home.journal.requireAlive()
+            delay(RETRY)
+        }
+        log.info { "${home.id} took over $lost in ${began.elapsedNow().inWholeMilliseconds} ms" }
+    }
+
+    private suspend fun recover(
+        lost: HomeId,
+        home: TurnHome,
+    ): Boolean {
+        val sealed = seals.seal(lost, home.id)
+        if (sealed == null) {
+            log.warn { "the log of $lost cannot be read now" }
+            return false
+        }
+        val retained = collect(sealed)
+        if (retained == null) {
+            log.warn { "retainers of $lost cannot be asked now" }
+            return false
+        }
+        home.adopt((sealed.records + retained).distinctBy { it.number }.map { TurnRecords.decode(it.bytes) })
+        scope.launch { free(sealed, home) }
+        return true
+    }
+
+    /** The records that retainers keep of [lost]; null when too few of them can be asked. */
+    private suspend fun collect(lost: LostHome): List<LogRecord>? {
+        val asked = lost.retainers.flatten().distinctBy { it.id }
+        val replies = coroutineScope { asked.map { async { it.id to end(it, lost.home) } }.awaitAll() }.toMap()
+        val isEnough = lost.retainers.all { group -> isEnough(group, replies) }
+        return if (isEnough) replies.values.filterNotNull().flatMap { it.records } else null
+    }
+
+    /** Whether no record that enough of [group] keep can be missed: all but one of them answered. */
+    private fun isEnough(
+        group: List<Retainer>,
+        replies: Map<RetainerId, RecordsOf?>,
+    ): Boolean {
+        if (group.size < RecordRetention.COPIES) return true
+        return group.count { replies[it.id] != null } > group.size - RecordRetention.COPIES
+    }
+
+    private suspend fun end(
+        retainer: Retainer,
+        lost: HomeId,
+    ): RecordsOf? = ask(retainer.address, EndHome(retainer.id, lost), COLLECT_LIMIT) as? RecordsOf
+
+    /** Once the programs are committed in the log of [home], what is left of the lost one is dropped. */
+    private suspend fun free(
+        lost: LostHome,
+        home: TurnHome,
+    ) {
+        home.journal.flush()
+        if (home.journal.ended.isCompleted) return
+        seals.free(lost)
+        lost.retainers
+            .flatten()
+            .distinctBy { it.id }
+            .forEach { ask(it.address, DropHome(lost.home), COLLECT_LIMIT) }
+    }
+
+    private suspend fun ask(
+        to: Address,
+        message: Message,
+        limit: Duration,
+    ): Message? =
+        try {
+            withTimeoutOrNull(limit) { exchange(to, message).firstOrNull() }
+        } catch (e: LinkException) {
+            log.debug { "$to cannot be asked: ${e.message}" }
+            null
+        }
+
+    private companion object {
+        /** A daemon that lives answers within the way there and back; one that is slowed may take longer. */
+        val ALIVE_LIMIT = 400.milliseconds
+        val COLLECT_LIMIT = 1.seconds
+        val RETRY = 300.milliseconds
+    }
+}
--- /dev/null
+++ b/homes/src/main/kotlin/sycamore/homes/Main.kt
@@ -0,0 +1,20 @@
+package sycamore.homes
+
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.launch
+import sycamore.daemon.Program
+import sycamore.forwarding.PlatformDaemon
+import sycamore.forwarding.UpstreamClient
+
+/** Runs the daemon beside an engine of the platform. */
+fun main() {
+    val settings = PlatformDaemon.settings("sycamore-home")
+    Program.daemon("sycamore-home") {
+        val runtime = PlatformDaemon(settings)
+        val daemon = HomeDaemon(settings, runtime.keys, runtime.links::exchange, UpstreamClient(), this)
+        runtime.serveLinks(daemon::serve)
+        launch { daemon.run() }
+        runtime.onStop { daemon.stop() }
+        awaitCancellation()
+    }
+}
--- /dev/null
+++ b/homes/src/main/kotlin/sycamore/homes/RecordRetention.kt
@@ -0,0 +1,203 @@
+package sycamore.homes
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.collectLatest
+import kotlinx.coroutines.flow.combine
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.firstOrNull
+import kotlinx.coroutines.flow.update
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import sycamore.links.Declined
+import sycamore.links.Done
+import sycamore.links.Exchange
+import sycamore.links.KeepRecords
+import sycamore.links.LinkException
+import sycamore.links.Message
+import sycamore.model.PlaceName
+import sycamore.turns.Retainer
+import sycamore.turns.RetainerId
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val log = KotlinLogging.logger {}
+
+/**
+ * Has the records of a home kept on the disks of retainers until they are committed.
+ *
+ * All records that wait are sent to a retainer in one message, one message at a time. Two retainers get every record;
+ * another one joins when they are late.
+ */
+internal class RecordRetention(
+    private val journal: HomeJournal,
+    private val place: PlaceName,
+    private val exchange: Exchange,
+    private val refused: (RetainerId) -> Unit,
+) {
+    /** What one retainer keeps: the records above [from] up to [kept]. */
+    private data class Kept(
+        val retainer: Retainer,
+        val from: Long,
+        val kept: Long,
+        val isUsed: Boolean,
+        val isLate: Boolean = false,
+    )
+
+    private val keepers = MutableStateFlow<List<Kept>>(emptyList())
+    private val safe = MutableStateFlow(0L)
+
+    /** Waits until the record [number] is committed or kept by enough retainers; false after [limit]. */
+    suspend fun awaitSafe(
+        number: Long,
+        limit: Duration,
+    ): Boolean {
+        journal.requireAlive()
+        val isSafe = withTimeoutOrNull(limit) { safe.first { it >= number || journal.ended.isCompleted } }
+        journal.requireAlive()
+        return isSafe != null
+    }
+
+    /** Works until the home has ended or the caller is cancelled. */
+    suspend fun run() {
+        coroutineScope {
+            launch {
+                combine(
+                    keepers,
+                    journal.committed,
+                ) { kept, committed -> safeUpTo(kept, committed) }.collect(::raise)
+            }
+            launch { watchLate() }
+            journal.named.collectLatest { named -> serve(named) }
+        }
+    }
+
+    private fun raise(number: Long) = safe.update { maxOf(it, number) }
+
+    /** The last number up to which each record is committed or kept by [COPIES] retainers. */
+    private fun safeUpTo(
+        kept: List<Kept>,
+        committed: Long,
+    ): Long {
+        var number = committed
+        while (true) {
+            val holders = kept.filter { it.from <= number && it.kept > number }.map { it.kept }.sortedDescending()
+            number = holders.getOrNull(COPIES - 1) ?: return number
+        }
+    }
+
+    private suspend fun serve(named: List<Retainer>) {
+        val nearest = named.sortedBy { if (it.place == place) 0 else 1 }
+        keepers.value =
+            nearest.mapIndexed { index, retainer ->
+                Kept(retainer, safe.value, safe.value, isUsed = index < COPIES)
+            }
+        journal.isUrgent = named.size < COPIES
+        coroutineScope { named.forEach { retainer -> launch { feed(retainer) } } }
+    }
+
+    private suspend fun feed(retainer: Retainer) {
+        var told = 0L
+        while (!journal.ended.isCompleted) {
+            val state = awaitWork(retainer.id, told) ?: return
+            val records = if (state.isUsed) journal.pendingAbove(state.kept) else emptyList()
+            val committed = journal.committed.value
+            val reply = ask(retainer, KeepRecords(retainer.id, journal.home, committed, records))
+            when (reply) {
+                is Done -> {
+                    told = committed
+                    change(retainer.id) { it.copy(kept = records.lastOrNull()?.number ?: it.kept, isLate = false) }
+                }
+                is Declined -> {
+                    log.warn { "retainer ${retainer.host} refused records of ${journal.home}: ${reply.reason}" }
+                    refused(retainer.id)
+                    change(retainer.id) { it.copy(isLate = true) }
+                    delay(RETRY)
+                }
+                else -> {
+                    change(retainer.id) { it.copy(isLate = true) }
+                    delay(RETRY)
+                }
+            }
+        }
+    }
+
+    /** Waits until there is something to send to [id] or to be dropped there; null if it is not used any more. */
+    private suspend fun awaitWork(
+        id: RetainerId,
+        told: Long,
+    ): Kept? {
+        val isDue =
+            withTimeoutOrNull(TELL_PERIOD) {
+                combine(keepers, journal.last) { kept, last -> kept.find { it.retainer.id == id } to last }
+                    .first { (state, last) -> state == null || (state.isUsed && last > state.kept) }
+            }
+        val state = keepers.value.find { it.retainer.id == id } ?: return null
+        if (isDue == null && journal.committed.value <= told) return awaitWork(id, told)
+        return state
+    }
+
+    private suspend fun ask(
+        retainer: Retainer,
+        message: Message,
+    ): Message? =
+        try {
+            withTimeoutOrNull(ASK_LIMIT) { exchange(retainer.address, message).firstOrNull() }
+        } catch (e: LinkException) {
+            log.debug { "retainer ${retainer.host} cannot be reached: ${e.message}" }
+            null
+        }
+
+    /** Uses another retainer when a record has waited for too long, and commits at once when there is none. */
+    private suspend fun watchLate() {
+        while (true) {
+            val waiting = journal.last.first { it > safe.value }
+            if (withTimeoutOrNull(LATE) { safe.first { it >= waiting } } != null) continue
+            val unused = keepers.value.find { !it.isUsed && !it.isLate }
+            if (unused != null) {
+                log.info {
+                    "retainer ${unused.retainer.host} joins, since record $waiting is not kept twice after $LATE"
+                }
+                change(unused.retainer.id) { it.copy(isUsed = true, from = safe.value, kept = safe.value) }
+            } else {
+                journal.isUrgent = true
+            }
+            withTimeoutOrNull(ASK_LIMIT) { safe.first { it >= waiting } }
+            settle()
+        }
+    }
+
+    /** Goes back to the nearest retainers once they keep up again. */
+    private fun settle() {
+        val current = keepers.value
+        val prompt = current.filter { it.isUsed && !it.isLate && it.kept >= safe.value }
+        journal.isUrgent = current.count { !it.isLate } < COPIES
+        if (prompt.size <= COPIES) return
+        val kept = prompt.take(COPIES).map { it.retainer.id }
+        keepers.update { all -> all.map { if (it.retainer.id in kept) it else it.copy(isUsed = false) } }
+    }
+
+    private fun change(
+        id: RetainerId,
+        change: (Kept) -> Kept,
+    ) = keepers.update { all -> all.map { if (it.retainer.id == id) change(it) else it } }
+
+    companion object {
+        /** Retainers that have to keep a record, so that the loss of one disk loses nothing. */
+        const val COPIES = 2
+
+        /** Retainers that are named, so that records stay safe while one of them is away. */
+        const val NAMED = 3
+
+        /** Twice the way to the farthest region and back, and the disk's sync. */
+        private val LATE = 60.milliseconds
+        private val ASK_LIMIT = 1.seconds
+        private val RETRY = 100.milliseconds
+
+        /** How often retainers learn what they need not keep any more, when nothing else is sent. */
+        private val TELL_PERIOD = 1.seconds
+    }
+}
--- /dev/null
+++ b/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
@@ -0,0 +1,170 @@
+package sycamore.homes
+
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.FlowCollector
+import kotlinx.coroutines.flow.firstOrNull
+import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.withTimeoutOrNull
+import sycamore.links.AskPrompt
+import sycamore.links.Exchange
+import sycamore.links.LinkException
+import sycamore.links.Message
+import sycamore.links.Prompt
+import sycamore.links.RunTurn
+import sycamore.links.TurnBegun
+import sycamore.links.TurnBroke
+import sycamore.links.TurnBytes
+import sycamore.links.TurnRefusal
+import sycamore.links.TurnRefused
+import sycamore.links.TurnSent
+import sycamore.links.TurnWhole
+import sycamore.turns.EventReader
+import sycamore.turns.TurnBroken
+import sycamore.turns.TurnFinished
+import sycamore.turns.TurnRequest
+import sycamore.turns.TurnStart
+import sycamore.turns.TurnStarted
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Runs turns of the programs that live here: keeps their history and budget, and sends them to an engine. */
+internal class TurnRunner(
+    private val home: TurnHome,
+    private val send: SendPrompt,
+    private val exchange: Exchange,
+) {
+    /** Runs [call], unless it is refused. */
+    fun run(call: RunTurn): Flow<Message> =
+        flow {
+            val base =
+                try {
+                    basePrompt(call)
+                } catch (e: BaseUnknownException) {
+                    return@flow emit(TurnRefused(TurnRefusal.NOT_NOW, e.message!!, LATER))
+                }
+            val request =
+                TurnRequest(call.program, call.turn, call.previous, call.input, call.tokenBudget, call.mostTokens)
+            when (val start = home.table.start(request, base)) {
+                is TurnStart.Admitted -> RunningTurn(call, start.record, this).run()
+                is TurnStart.BudgetSpent ->
+                    emit(TurnRefused(TurnRefusal.BUDGET_SPENT, "the budget holds ${start.left} more tokens"))
+                TurnStart.NoSuchTurn -> emit(TurnRefused(TurnRefusal.NO_SUCH_TURN, "no turn ${call.previous} is kept"))
+                TurnStart.Repeated -> emit(TurnBroke("a turn ${call.turn} was started before"))
+            }
+        }
+
+    private class BaseUnknownException(
+        message: String,
+    ) : Exception(message)
+
+    /** The prompt of the turn that [call] continues, if that turn lives at another home. */
+    private suspend fun basePrompt(call: RunTurn): ByteArray? {
+        val at = call.previousAt?.takeIf { it.home != home.id } ?: return null
+        val previous = call.previous ?: return null
+        val reply =
+            try {
+                withTimeoutOrNull(ASK_LIMIT) { exchange(at.address, AskPrompt(previous)).firstOrNull() }
+            } catch (e: LinkException) {
+                throw BaseUnknownException("the home ${at.home} cannot be reached: ${e.message}")
+            }
+        return (reply as? Prompt)?.bytes
+            ?: throw BaseUnknownException("the home ${at.home} did not tell turn $previous")
+    }
+
+    /** A turn that its program's budget holds, until it has ended. */
+    private inner class RunningTurn(
+        private val call: RunTurn,
+        private val record: TurnStarted,
+        private val replies: FlowCollector<Message>,
+    ) {
+        private val events = EventReader()
+        private var start: Long? = null
+        private var isStartSafe = false
+        private var isSuccess = false
+        private var isEnded = false
+
+        suspend fun run() {
+            var last: Message = TurnBroke("the gate did not answer")
+            try {
+                send(call, home.table.prompt(call.program, call.turn)).collect { message ->
+                    if (message is TurnWhole || message is TurnBroke || message is TurnRefused) last = message
+                    take(message)
+                }
+            } catch (e: LinkException) {
+                last = if (e.sent) TurnBroke("the gate was lost: ${e.message}") else notReached(e)
+            } catch (_: NotKeptException) {
+                last = TurnBroke("the turn's start could not be kept within $SAFE_LIMIT")
+            } catch (_: CutOffException) {
+                last = TurnBroke("the engine's answer ends within an event")
+            } finally {
+                if (!isEnded) breakOff(last)
+            }
+            replies.emit(last)
+        }
+
+        private suspend fun take(message: Message) {
+            when (message) {
+                TurnSent -> start = home.journal.append(record)
+                is TurnBegun -> {
+                    isSuccess = message.status in SUCCESSES
+                    pass(message)
+                }
+                is TurnBytes -> {
+                    if (isSuccess) events.read(message.bytes)
+                    pass(message)
+                }
+                TurnWhole -> if (isSuccess) finish()
+                else -> Unit
+            }
+        }
+
+        /** Nothing is passed on until the turn's start is kept: else a successor would not count its tokens. */
+        private suspend fun pass(message: Message) {
+            val number = start ?: home.journal.append(record).also { start = it }
+            if (!isStartSafe && !home.retention.awaitSafe(number, SAFE_LIMIT)) throw NotKeptException()
+            isStartSafe = true
+            replies.emit(message)
+        }
+
+        /** A turn counts from the end of its answer on, so that has to outlive this process first. */
+        private suspend fun finish() {
+            if (!events.isBetweenEvents || events.events == 0) throw CutOffException()
+            val record = TurnFinished(call.program, call.turn, events.output, tokens())
+            home.table.apply(record)
+            isEnded = true
+            val number = home.journal.append(record)
+            if (!home.retention.awaitSafe(number, SAFE_LIMIT)) throw NotKeptException()
+        }
+
+        private fun breakOff(last: Message) {
+            isEnded = true
+            if (start == null) {
+                home.table.withdraw(call.program, call.turn)
+                return
+            }
+            val record = TurnBroken(call.program, call.turn, if (last is TurnRefused) 0 else tokens())
+            home.table.apply(record)
+            if (!home.journal.ended.isCompleted) home.journal.append(record)
+        }
+
+        private fun tokens(): Long = events.events.toLong() * call.tokensPerEvent
+
+        private fun notReached(e: LinkException) =
+            TurnRefused(TurnRefusal.TARGET_GONE, "the gate cannot be reached: ${e.message}", LATER)
+    }
+
+    /** What has to be kept before an answer goes on was not kept in time. */
+    private class NotKeptException : Exception()
+
+    /** An answer that ends as if it was whole ends within an event. */
+    private class CutOffException : Exception()
+
+    private companion object {
+        val SUCCESSES = 200..299
+        val ASK_LIMIT = 500.milliseconds
+        val LATER = 300.milliseconds
+
+        /** Longer than the store takes to answer when it is slow; a turn that cannot be kept by then is given up. */
+        val SAFE_LIMIT = 2.seconds
+    }
+}
--- a/host/src/main/kotlin/sycamore/host/EngineReports.kt
+++ b/host/src/main/kotlin/sycamore/host/EngineReports.kt
@@ -4,9 +4,9 @@
 import org.http4k.core.HttpHandler
 import sycamore.decisions.ResidencyEvent
 import sycamore.model.Upstream
-import sycamore.platform.EngineLoad
-import sycamore.platform.EngineReply
-import sycamore.platform.HttpEngineControl
+import sycamore.services.EngineLoad
+import sycamore.services.EngineReply
+import sycamore.services.HttpEngineControl
 
 /**
  * What an engine tells about itself. Each returns null when the engine cannot be asked now.
--- a/host/src/main/kotlin/sycamore/host/HostWorld.kt
+++ b/host/src/main/kotlin/sycamore/host/HostWorld.kt
@@ -7,7 +7,7 @@
 import sycamore.daemon.Members
 import sycamore.links.Exchange
 import sycamore.model.Host
-import sycamore.platform.KeyValue
+import sycamore.services.KeyValue
 import kotlin.time.Clock
 import kotlin.time.TimeSource
 
--- a/host/src/main/kotlin/sycamore/host/LiveSegments.kt
+++ b/host/src/main/kotlin/sycamore/host/LiveSegments.kt
@@ -1,9 +1,9 @@
 package sycamore.host
 
 import sycamore.model.ProgramId
-import sycamore.platform.Revision
 import sycamore.programs.Numbered
 import sycamore.programs.weight
+import sycamore.services.Revision
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
 
--- a/host/src/main/kotlin/sycamore/host/LogCleaner.kt
+++ b/host/src/main/kotlin/sycamore/host/LogCleaner.kt
@@ -1,10 +1,10 @@
 package sycamore.host
 
 import kotlinx.coroutines.delay
-import sycamore.platform.KeyValue
-import sycamore.platform.Read
-import sycamore.platform.Write
 import sycamore.programs.Segments
+import sycamore.services.KeyValue
+import sycamore.services.Read
+import sycamore.services.Write
 import kotlin.time.Duration.Companion.seconds
 
 /**
--- a/host/src/main/kotlin/sycamore/host/LostLog.kt
+++ b/host/src/main/kotlin/sycamore/host/LostLog.kt
@@ -3,14 +3,14 @@
 import sycamore.model.Epoch
 import sycamore.model.HomeId
 import sycamore.model.HostName
-import sycamore.platform.Item
-import sycamore.platform.KeyValue
-import sycamore.platform.Read
-import sycamore.platform.Revision
-import sycamore.platform.Write
 import sycamore.programs.Numbered
 import sycamore.programs.Segment
 import sycamore.programs.Segments
+import sycamore.services.Item
+import sycamore.services.KeyValue
+import sycamore.services.Read
+import sycamore.services.Revision
+import sycamore.services.Write
 import kotlin.time.Duration.Companion.days
 
 /**
--- a/host/src/main/kotlin/sycamore/host/Main.kt
+++ b/host/src/main/kotlin/sycamore/host/Main.kt
@@ -23,9 +23,9 @@
 import sycamore.model.Epoch
 import sycamore.model.Host
 import sycamore.model.Incarnation
-import sycamore.platform.HttpHostList
-import sycamore.platform.HttpKeyValue
-import sycamore.platform.keyValueClient
+import sycamore.platform.StoreKeyValue
+import sycamore.services.HttpHostList
+import sycamore.services.keyValueClient
 import kotlin.time.Duration.Companion.seconds
 
 /** Runs the daemon beside an upstream. */
@@ -42,7 +42,7 @@
         val members = Members()
         val links = LinkClient(settings.name, settings.linkKeys)
         val self = Host(settings.name, settings.place, settings.listen, Incarnation.random())
-        val keys = keyValueClient(HttpKeyValue(settings.keyValue, http, Threads.blocking))
+        val keys = keyValueClient(StoreKeyValue(settings.keyValue, http, Threads.blocking))
         metrics.bindKeyValue(keys.counts)
         val audit = AuditTrail(keys, settings.name.value)
         val daemon =
--- a/host/src/main/kotlin/sycamore/host/Recovery.kt
+++ b/host/src/main/kotlin/sycamore/host/Recovery.kt
@@ -6,12 +6,12 @@
 import sycamore.links.TakenOver
 import sycamore.model.HomeId
 import sycamore.model.HostName
-import sycamore.platform.KeyValue
-import sycamore.platform.Read
-import sycamore.platform.Revision
-import sycamore.platform.Write
 import sycamore.programs.Fences
 import sycamore.programs.HomeRecord
+import sycamore.services.KeyValue
+import sycamore.services.Read
+import sycamore.services.Revision
+import sycamore.services.Write
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
--- a/host/src/test/kotlin/sycamore/host/EngineReportsTest.kt
+++ b/host/src/test/kotlin/sycamore/host/EngineReportsTest.kt
@@ -8,10 +8,10 @@
 import org.http4k.core.Status
 import sycamore.model.Address
 import sycamore.model.ModelName
-import sycamore.platform.EngineOrder
-import sycamore.platform.EngineReply
-import sycamore.platform.EngineWire
-import sycamore.platform.HttpEngineControl
+import sycamore.services.EngineOrder
+import sycamore.services.EngineReply
+import sycamore.services.EngineWire
+import sycamore.services.HttpEngineControl
 import sycamore.standins.engine.EngineFaults
 import sycamore.standins.engine.EngineServer
 import sycamore.standins.engine.EngineSpec
--- a/links/src/main/kotlin/sycamore/links/Connection.kt
+++ b/links/src/main/kotlin/sycamore/links/Connection.kt
@@ -27,6 +27,9 @@
 ) {
     private val writer = FrameWriter(pipe, time)
 
+    /** A watchdog that comes later than twice this was paused itself, and blames no peer. */
+    private val tick = minOf(TICK, bounds.activePing / 2)
+
     @Volatile
     private var lastReceived: TimeMark = time.markNow()
 
@@ -94,8 +97,8 @@
     private suspend fun watch() {
         while (true) {
             val before = time.markNow()
-            delay(TICK)
-            if (before.elapsedNow() > TICK * 2) lastReceived = time.markNow()
+            delay(tick)
+            if (before.elapsedNow() > tick * 2) lastReceived = time.markNow()
             checkPeer()
             val pause = if (isActive()) bounds.activePing else bounds.idlePing
             if (pings && lastPing.elapsedNow() >= pause) ping()
@@ -114,7 +117,7 @@
     }
 
     private companion object {
-        /** A watchdog that comes later than twice this was paused itself, and blames no peer. */
+        /** Longest pause of the watchdog. */
         val TICK = 1.seconds
     }
 }
--- /dev/null
+++ b/routing/src/main/kotlin/sycamore/routing/RouteTable.kt
@@ -0,0 +1,34 @@
+package sycamore.routing
+
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.ImmutableMap
+import kotlinx.collections.immutable.toImmutableMap
+import kotlinx.collections.immutable.toPersistentMap
+import sycamore.model.Generation
+import sycamore.model.ServiceName
+
+/** All routes of one published configuration. */
+class RouteTable(
+    val generation: Generation,
+    val routes: ImmutableList<Route>,
+    services: Collection<RoutedService>,
+    val limits: CallerLimits,
+) {
+    /** The services by name. */
+    val services: ImmutableMap<ServiceName, RoutedService> = services.associateBy { it.name }.toImmutableMap()
+
+    private val byHost: ImmutableMap<String, List<Route>> =
+        routes
+            .groupBy { it.host.lowercase() }
+            .mapValues { (_, routes) -> routes.sortedByDescending { it.prefix.length } }
+            .toPersistentMap()
+
+    /** The route of [path] at [host]: the one with the longest prefix, or null when none fits. A port in [host] is ignored. */
+    fun find(
+        host: String,
+        path: String,
+    ): Route? {
+        val bare = path.substringBefore('?')
+        return byHost[host.substringBefore(':').lowercase()]?.firstOrNull { bare.startsWith(it.prefix) }
+    }
+}
--- a/platform/src/main/kotlin/sycamore/platform/CallCounts.kt
+++ b/services/src/main/kotlin/sycamore/services/CallCounts.kt
@@ -1,4 +1,4 @@
-package sycamore.platform
+package sycamore.services
 
 import kotlinx.collections.immutable.toPersistentMap
 import java.util.EnumMap
--- a/platform/src/main/kotlin/sycamore/platform/EngineWire.kt
+++ b/services/src/main/kotlin/sycamore/services/EngineWire.kt
@@ -1,4 +1,4 @@
-package sycamore.platform
+package sycamore.services
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
--- a/platform/src/main/kotlin/sycamore/platform/HostList.kt
+++ b/services/src/main/kotlin/sycamore/services/HostList.kt
@@ -1,4 +1,4 @@
-package sycamore.platform
+package sycamore.services
 
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineDispatcher
@@ -46,5 +46,5 @@
             }
         }
 
-    private fun decode(text: String): List<ListedHost> = KeyValueWire.json.decodeFromString(text)
+    private fun decode(text: String): List<ListedHost> = bodies.decodeFromString(text)
 }
--- a/platform/src/main/kotlin/sycamore/platform/HttpEngineControl.kt
+++ b/services/src/main/kotlin/sycamore/services/HttpEngineControl.kt
@@ -1,4 +1,4 @@
-package sycamore.platform
+package sycamore.services
 
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineDispatcher
--- a/platform/src/main/kotlin/sycamore/platform/KeyValue.kt
+++ b/services/src/main/kotlin/sycamore/services/KeyValue.kt
@@ -1,4 +1,4 @@
-package sycamore.platform
+package sycamore.services
 
 import kotlinx.serialization.Serializable
 import kotlin.time.Duration
@@ -106,7 +106,13 @@
         expected: Revision,
     ): Write
 
+    /** Deletes [keys], at most [MAX_REMOVED] of them, whatever stands there. */
+    suspend fun remove(keys: List<String>): Write
+
     companion object {
+        /** Keys that one call may remove. */
+        const val MAX_REMOVED = 32
+
         /** Largest value, in bytes. */
         const val MAX_VALUE_BYTES = 1_000_000
     }
--- a/platform/src/main/kotlin/sycamore/platform/KeyValueClient.kt
+++ b/services/src/main/kotlin/sycamore/services/KeyValueClient.kt
@@ -1,4 +1,4 @@
-package sycamore.platform
+package sycamore.services
 
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration
@@ -41,6 +41,8 @@
         expected: Revision,
     ): Write = write(CallKind.DELETE) { keys.delete(key, expected) }
 
+    override suspend fun remove(keys: List<String>): Write = write(CallKind.DELETE) { this.keys.remove(keys) }
+
     private suspend fun <T> read(
         kind: CallKind,
         within: Duration,
--- a/platform/src/main/kotlin/sycamore/platform/Watch.kt
+++ b/services/src/main/kotlin/sycamore/services/Watch.kt
@@ -1,4 +1,4 @@
-package sycamore.platform
+package sycamore.services
 
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
--- a/platform/src/test/kotlin/sycamore/platform/BackoffTest.kt
+++ b/services/src/test/kotlin/sycamore/services/BackoffTest.kt
@@ -1,4 +1,4 @@
-package sycamore.platform
+package sycamore.services
 
 import kotlin.random.Random
 import kotlin.test.Test
--- a/platform/src/test/kotlin/sycamore/platform/RateLimitTest.kt
+++ b/services/src/test/kotlin/sycamore/services/RateLimitTest.kt
@@ -1,4 +1,4 @@
-package sycamore.platform
+package sycamore.services
 
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
--- a/standins/src/main/kotlin/sycamore/standins/FaultyKeyValue.kt
+++ b/standins/src/main/kotlin/sycamore/standins/FaultyKeyValue.kt
@@ -1,12 +1,12 @@
 package sycamore.standins
 
 import kotlinx.coroutines.delay
-import sycamore.platform.Item
-import sycamore.platform.KeyValue
-import sycamore.platform.RateLimit
-import sycamore.platform.Read
-import sycamore.platform.Revision
-import sycamore.platform.Write
+import sycamore.services.Item
+import sycamore.services.KeyValue
+import sycamore.services.RateLimit
+import sycamore.services.Read
+import sycamore.services.Revision
+import sycamore.services.Write
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Duration
 import kotlin.time.TimeSource
@@ -96,6 +96,8 @@
         expected: Revision,
     ): Write = write { store.delete(key, expected) }
 
+    override suspend fun remove(keys: List<String>): Write = write { store.remove(keys) }
+
     private suspend fun <T> read(call: suspend (Frozen?) -> Read<T>): Read<T> {
         val now = state.get()
         if (now.faults.delay > Duration.ZERO) delay(now.faults.delay)
--- a/standins/src/main/kotlin/sycamore/standins/KeyValueStore.kt
+++ b/standins/src/main/kotlin/sycamore/standins/KeyValueStore.kt
@@ -3,11 +3,11 @@
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.withTimeoutOrNull
-import sycamore.platform.Item
-import sycamore.platform.KeyValue
-import sycamore.platform.Read
-import sycamore.platform.Revision
-import sycamore.platform.Write
+import sycamore.services.Item
+import sycamore.services.KeyValue
+import sycamore.services.Read
+import sycamore.services.Revision
+import sycamore.services.Write
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
 import kotlin.time.ComparableTimeMark
@@ -72,6 +72,13 @@
         expected: Revision,
     ): Write = change(key, null, expected, null)
 
+    override suspend fun remove(keys: List<String>): Write =
+        lock.withLock {
+            dropLapsed()
+            keys.filter { items[it]?.value != null }.forEach { store(it, null, lease = null) }
+            Write.Taken(now())
+        }
+
     /** Comes back as if restored from a backup: the same keys, with revisions counted anew. */
     fun restore() {
         lock.withLock {
--- a/standins/src/main/kotlin/sycamore/standins/StandinSettings.kt
+++ b/standins/src/main/kotlin/sycamore/standins/StandinSettings.kt
@@ -6,7 +6,7 @@
 import sycamore.model.PlaceName
 import sycamore.model.TomlFile
 import sycamore.model.TomlReader
-import sycamore.platform.ListedHost
+import sycamore.services.ListedHost
 import sycamore.standins.engine.EngineSettings
 import sycamore.standins.engine.WeightStore
 
--- a/standins/src/main/kotlin/sycamore/standins/engine/CacheEvents.kt
+++ b/standins/src/main/kotlin/sycamore/standins/engine/CacheEvents.kt
@@ -1,7 +1,7 @@
 package sycamore.standins.engine
 
-import sycamore.platform.CacheEvent
-import sycamore.platform.EngineLoad
+import sycamore.services.CacheEvent
+import sycamore.services.EngineLoad
 import kotlin.random.Random
 import kotlin.time.Duration
 
--- a/standins/src/main/kotlin/sycamore/standins/engine/Engine.kt
+++ b/standins/src/main/kotlin/sycamore/standins/engine/Engine.kt
@@ -1,13 +1,13 @@
 package sycamore.standins.engine
 
 import sycamore.model.ModelName
-import sycamore.platform.CacheEvent
-import sycamore.platform.CacheListing
-import sycamore.platform.EngineLoad
-import sycamore.platform.EngineOrder
-import sycamore.platform.EngineRole
-import sycamore.platform.ExportedCache
-import sycamore.platform.ExportedSpan
+import sycamore.services.CacheEvent
+import sycamore.services.CacheListing
+import sycamore.services.EngineLoad
+import sycamore.services.EngineOrder
+import sycamore.services.EngineRole
+import sycamore.services.ExportedCache
+import sycamore.services.ExportedSpan
 import kotlin.time.Duration
 
 /** Sums over the steps that an engine has taken. */
--- a/standins/src/main/kotlin/sycamore/standins/engine/EngineBatch.kt
+++ b/standins/src/main/kotlin/sycamore/standins/engine/EngineBatch.kt
@@ -1,6 +1,6 @@
 package sycamore.standins.engine
 
-import sycamore.platform.EngineRole
+import sycamore.services.EngineRole
 import java.util.PriorityQueue
 import kotlin.time.Duration
 
--- a/standins/src/main/kotlin/sycamore/standins/engine/EngineOrders.kt
+++ b/standins/src/main/kotlin/sycamore/standins/engine/EngineOrders.kt
@@ -1,8 +1,8 @@
 package sycamore.standins.engine
 
 import sycamore.model.ModelName
-import sycamore.platform.EngineOrder
-import sycamore.platform.EngineRole
+import sycamore.services.EngineOrder
+import sycamore.services.EngineRole
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
--- a/standins/src/main/kotlin/sycamore/standins/engine/EngineServer.kt
+++ b/standins/src/main/kotlin/sycamore/standins/engine/EngineServer.kt
@@ -15,9 +15,9 @@
 import org.http4k.routing.path
 import org.http4k.routing.routes
 import sycamore.model.ModelName
-import sycamore.platform.EngineOrder
-import sycamore.platform.EngineWire
-import sycamore.platform.ExportedCache
+import sycamore.services.EngineOrder
+import sycamore.services.EngineWire
+import sycamore.services.ExportedCache
 import kotlin.time.TimeSource
 import kotlin.uuid.Uuid
 
--- a/standins/src/test/kotlin/sycamore/standins/AuditTrailTest.kt
+++ b/standins/src/test/kotlin/sycamore/standins/AuditTrailTest.kt
@@ -12,8 +12,8 @@
 import sycamore.daemon.audit.AuditRetention
 import sycamore.daemon.audit.AuditTrail
 import sycamore.model.Generation
-import sycamore.platform.KeyValue
-import sycamore.platform.Read
+import sycamore.services.KeyValue
+import sycamore.services.Read
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
--- a/standins/src/test/kotlin/sycamore/standins/LeaseTest.kt
+++ b/standins/src/test/kotlin/sycamore/standins/LeaseTest.kt
@@ -3,8 +3,8 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.runTest
 import kotlinx.coroutines.test.testTimeSource
-import sycamore.platform.Holding
-import sycamore.platform.Lease
+import sycamore.services.Holding
+import sycamore.services.Lease
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
--- a/standins/src/test/kotlin/sycamore/standins/SpreadTest.kt
+++ b/standins/src/test/kotlin/sycamore/standins/SpreadTest.kt
@@ -30,11 +30,11 @@
 import sycamore.model.Place
 import sycamore.model.PlaceName
 import sycamore.model.RegionName
-import sycamore.platform.KeyValue
-import sycamore.platform.ListedHost
-import sycamore.platform.Read
-import sycamore.platform.Revision
-import sycamore.platform.keyValueClient
+import sycamore.services.KeyValue
+import sycamore.services.ListedHost
+import sycamore.services.Read
+import sycamore.services.Revision
+import sycamore.services.keyValueClient
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
--- a/standins/src/test/kotlin/sycamore/standins/HttpKeyValueTest.kt
+++ b/standins/src/test/kotlin/sycamore/standins/StoreKeyValueTest.kt
@@ -8,21 +8,21 @@
 import org.http4k.core.Response
 import org.http4k.core.Status
 import sycamore.model.Address
-import sycamore.platform.HttpKeyValue
-import sycamore.platform.Item
-import sycamore.platform.Read
-import sycamore.platform.Revision
-import sycamore.platform.Write
+import sycamore.platform.StoreKeyValue
+import sycamore.services.Item
+import sycamore.services.Read
+import sycamore.services.Revision
+import sycamore.services.Write
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
 import kotlin.time.Duration
 
-class HttpKeyValueTest {
+class StoreKeyValueTest {
     private val address = Address("127.0.0.1", 1)
     private val value = byteArrayOf(1, 2)
 
-    private fun client(http: HttpHandler) = HttpKeyValue(address, http, Dispatchers.IO)
+    private fun client(http: HttpHandler) = StoreKeyValue(address, http, Dispatchers.IO)
 
     private fun switch(
         server: KeyValueServer,
@@ -60,10 +60,13 @@
     @Test
     fun `answers that cannot be decoded are no answers`(): Unit =
         runBlocking {
-            val bodies = listOf("", "{", "[]", """{"revision":1,"items":[{"key":"k","value":"%","version":1}]}""")
-            for (body in bodies) {
+            val damaged = listOf("", "{", "[]")
+            for (body in damaged + """{"key":"k","value":"%","revision":1}""") {
                 val keys = client { Response(Status.OK).body(body) }
                 assertEquals(Read.Unreachable("the answer could not be decoded"), keys.get("k"))
+            }
+            for (body in damaged + """{"revision":"new"}""") {
+                val keys = client { Response(Status.OK).body(body) }
                 assertEquals(Write.NotKnown("the answer could not be decoded"), keys.delete("k", Revision(1)))
             }
         }
--- a/standins/src/test/kotlin/sycamore/standins/WatchTest.kt
+++ b/standins/src/test/kotlin/sycamore/standins/WatchTest.kt
@@ -5,15 +5,15 @@
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
 import kotlinx.coroutines.test.testTimeSource
-import sycamore.platform.Backoff
-import sycamore.platform.Item
-import sycamore.platform.KeyValue
-import sycamore.platform.Revision
-import sycamore.platform.WatchTimes
-import sycamore.platform.Watched
-import sycamore.platform.Write
-import sycamore.platform.keyValueClient
-import sycamore.platform.watch
+import sycamore.services.Backoff
+import sycamore.services.Item
+import sycamore.services.KeyValue
+import sycamore.services.Revision
+import sycamore.services.WatchTimes
+import sycamore.services.Watched
+import sycamore.services.Write
+import sycamore.services.keyValueClient
+import sycamore.services.watch
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -57,7 +57,7 @@
         key: String,
         value: String,
     ) {
-        val expected = (get(key) as sycamore.platform.Read.Found).value?.version ?: Revision.ABSENT
+        val expected = (get(key) as sycamore.services.Read.Found).value?.version ?: Revision.ABSENT
         assertIs<Write.Taken>(put(key, value.encodeToByteArray(), expected))
     }
 
--- a/standins/src/test/kotlin/sycamore/standins/engine/EngineServerTest.kt
+++ b/standins/src/test/kotlin/sycamore/standins/engine/EngineServerTest.kt
@@ -4,7 +4,7 @@
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.http4k.core.Status
-import sycamore.platform.EngineWire
+import sycamore.services.EngineWire
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertContains
--- a/standins/src/test/kotlin/sycamore/standins/engine/EngineTest.kt
+++ b/standins/src/test/kotlin/sycamore/standins/engine/EngineTest.kt
@@ -7,7 +7,7 @@
 import kotlinx.coroutines.test.runTest
 import kotlinx.coroutines.test.testTimeSource
 import sycamore.model.ModelName
-import sycamore.platform.EngineOrder
+import sycamore.services.EngineOrder
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
