--- a/daemon/src/main/kotlin/sycamore/daemon/log/JsonLineEncoder.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/log/JsonLineEncoder.kt
@@ -11,10 +11,13 @@
  * Writes each log event as one line of JSON.
  *
  * Every line has the fields `time`, `level`, `host`, `generation`, `epoch`, `program`, `call`, `logger` and `message`,
- * null where they do not apply; `error` holds a stack trace. Values come from the event's key-value pairs first, then
+ * null where they do not apply unless [omitNulls] is set; `error` holds a stack trace. Values come from the event's key-value pairs first, then
  * from the properties that [LogContext] sets for the whole process.
  */
 class JsonLineEncoder : EncoderBase<ILoggingEvent>() {
+    /** Whether fields that do not apply are left out, rather than null. */
+    var omitNulls: Boolean = false
+
     override fun headerBytes(): ByteArray? = null
 
     override fun footerBytes(): ByteArray? = null
@@ -26,7 +29,10 @@
         buildMap {
             put("time", JsonPrimitive(event.instant.toString()))
             put("level", JsonPrimitive(event.level.toString()))
-            names.forEach { put(it, property(event, it)) }
+            names.forEach { name ->
+                val value = property(event, name)
+                if (!omitNulls || value != JsonNull) put(name, value)
+            }
             put("logger", JsonPrimitive(event.loggerName))
             put("message", JsonPrimitive(event.formattedMessage))
             event.keyValuePairs.orEmpty().forEach { pair -> pair.value?.let { put(pair.key, primitive(it)) } }
--- a/daemon/src/test/kotlin/sycamore/daemon/log/JsonLineEncoderTest.kt
+++ b/daemon/src/test/kotlin/sycamore/daemon/log/JsonLineEncoderTest.kt
@@ -45,6 +45,20 @@
         )
     }
 
+    @Test
+    fun `fields that do not apply can be left out`() {
+        val logger = context.getLogger("sycamore.Test")
+        val event = LoggingEvent("test", logger, Level.INFO, "started", null, null)
+        event.setInstant(Instant.ofEpochSecond(0))
+        event.addKeyValuePair(KeyValuePair("request", "r1"))
+        val line = JsonLineEncoder().apply { omitNulls = true }.encode(event).decodeToString()
+        assertEquals(
+            """{"time":"1970-01-01T00:00:00Z","level":"INFO","logger":"sycamore.Test","message":"started","request":"r1"}""" +
+                "\n",
+            line,
+        )
+    }
+
     @Test
     fun `an error stays on the line`() {
         val line = line("m", IllegalStateException("broken"))
--- a/forwarding/src/main/kotlin/sycamore/forwarding/CallerExchange.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/CallerExchange.kt
@@ -40,6 +40,16 @@
     /** All headers. */
     val headers: List<Header> by lazy { request.headers.map { it.name to it.value.orEmpty() } }
 
+    /** The status that was answered; null before that. */
+    @Volatile
+    var status: Int? = null
+        private set
+
+    /** Why the connection was closed without a whole answer; null if it was not. */
+    @Volatile
+    var cutReason: String? = null
+        private set
+
     /** Whether the head of the answer was sent. */
     @Volatile
     var isBegun = false
@@ -117,6 +127,7 @@
     fun cut(reason: String) {
         watch.stop()
         finish {
+            cutReason = reason
             callback.failed(EofException(reason))
             request.connectionMetaData.connection.endPoint
                 .close()
@@ -132,6 +143,7 @@
         status: Int,
         headers: List<Header>,
     ) {
+        this.status = status
         response.status = status
         headers.forEach { (name, value) -> response.headers.add(name, value) }
     }
--- a/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
@@ -3,10 +3,12 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.job
+import sycamore.daemon.log.event
 import sycamore.forwarding.BodyTooLargeException
 import sycamore.forwarding.CallerExchange
 import sycamore.forwarding.UpstreamClient
 import sycamore.links.Exchange
+import sycamore.model.Generation
 import sycamore.model.ServiceName
 import sycamore.platform.CallHeaders
 import sycamore.platform.HostSettings
@@ -55,12 +57,23 @@
         val head = CallHeaders.decode(caller.headers)
         val table = routes.table.value
         if (table == null) {
-            log.info { "call ${head.id} refused: no configuration is known yet" }
+            log.event(
+                "call-refused",
+                "request" to head.id,
+                "status" to OwnAnswer.NOT_RUN.status,
+                "detail" to "no configuration",
+            )
             return caller.answer(OwnAnswer.NOT_RUN, "no configuration is known yet", head.id, START_RETRY)
         }
         val route = table.find(caller.host, caller.target)
         if (route == null) {
-            log.info { "call ${head.id} refused: no route at ${table.generation} for ${caller.host}${caller.target}" }
+            log.event(
+                "call-refused",
+                "request" to head.id,
+                "status" to OwnAnswer.NOT_FOUND.status,
+                "detail" to "no route for ${caller.host}${caller.target}",
+                "version" to table.generation,
+            )
             return caller.answer(OwnAnswer.NOT_FOUND, "no such route", head.id)
         }
         if (head.id == null) return caller.answer(OwnAnswer.BAD_REQUEST, "expected a request id, found none", null)
@@ -72,9 +85,37 @@
             }
         val job = currentCoroutineContext().job
         caller.watchCaller { job.cancel() }
-        serve(caller, accept(caller, route, head, body, arrived))
+        val call = accept(caller, route, head, body, arrived)
+        try {
+            serve(caller, call)
+        } finally {
+            logEnd(caller, call, table.generation, arrived)
+        }
     }
 
+    private fun logEnd(
+        caller: CallerExchange,
+        call: AcceptedCall,
+        generation: Generation,
+        arrived: ComparableTimeMark,
+    ) = log.event(
+        "call-ended",
+        "request" to call.head.id,
+        "program" to call.head.program,
+        "previous" to call.head.previous,
+        "route" to call.route.name,
+        "version" to generation,
+        "service" to call.service,
+        "home" to call.trace.home,
+        "upstream" to call.trace.upstream,
+        "sends" to call.trace.sends,
+        "status" to caller.status,
+        "cut" to (caller.cutReason ?: "the caller left".takeIf { caller.status == null }),
+        "detail" to call.trace.detail,
+        "ms" to arrived.elapsedNow().inWholeMilliseconds,
+        "time_left_ms" to call.timeLeft.inWholeMilliseconds,
+    )
+
     private fun accept(
         caller: CallerExchange,
         route: Route,
--- a/gateway/src/main/kotlin/sycamore/gateway/PlainCalls.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/PlainCalls.kt
@@ -1,6 +1,5 @@
 package sycamore.gateway
 
-import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.forwarding.AnswerEvent
 import sycamore.forwarding.CallerExchange
@@ -17,8 +16,6 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-private val log = KotlinLogging.logger {}
-
 /** Sends calls that keep no history to upstreams, and repeats those that may be repeated. */
 internal class PlainCalls(
     private val upstreams: UpstreamDirectory,
@@ -59,6 +56,8 @@
             val left = call.timeLeft
             if (left < LEAST_TIME) break
             tried += upstream.id
+            call.trace.upstream = upstream.id
+            call.trace.sends++
             val mayRepeat = call.route.repeat == Repeat.IDEMPOTENT && sends + 1 < call.route.attempts
             last = attempt(call, upstream, left, if (mayRepeat) left / 2 else left)
             if (last is Attempt.NotRun) continue
@@ -80,7 +79,7 @@
             last is Attempt.Answered -> exchange.answer(last.status, last.headers, last.body)
             !mayHaveRun -> {
                 val reason = (last as? Attempt.NotRun)?.reason ?: "no time is left"
-                log.info { "call ${call.head.id} did not run: $reason" }
+                call.trace.detail = reason
                 exchange.answer(OwnAnswer.NOT_RUN, reason, call.head.id, RETRY_AFTER)
             }
             call.timeLeft <= Duration.ZERO ->
@@ -91,7 +90,7 @@
                 )
             else -> {
                 val reason = (last as? Attempt.Broke)?.reason ?: "no upstream is left"
-                log.info { "call ${call.head.id} may have run: $reason" }
+                call.trace.detail = reason
                 exchange.answer(OwnAnswer.BROKEN, reason, call.head.id)
             }
         }
--- a/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
@@ -3,6 +3,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
+import sycamore.daemon.log.event
 import sycamore.forwarding.CallerExchange
 import sycamore.links.Exchange
 import sycamore.links.HeaderField
@@ -138,13 +139,13 @@
                 Sent.Done -> true
                 is Sent.Elsewhere -> {
                     lastReason = sent.reason
-                    log.info { "turn $turn goes elsewhere: ${sent.reason}" }
+                    log.event("turn-sent-elsewhere", "request" to turn, "home" to home.home, "detail" to sent.reason)
                     delay(PAUSE)
                     false
                 }
                 is Sent.Unreachable -> {
                     lastReason = sent.reason
-                    log.info { "turn $turn: home ${home.home} cannot be reached: ${sent.reason}" }
+                    log.event("home-unreachable", "request" to turn, "home" to home.home, "detail" to sent.reason)
                     board.lost(home.address)
                     if (homes.known(program) == home) {
                         homes.takeOver(home) ?: delay(PAUSE)
@@ -176,6 +177,9 @@
         ): Sent {
             val message = message(previousAt, target)
             board.placed(target.address)
+            call.trace.home = home.home
+            call.trace.upstream = target.upstream.id
+            call.trace.sends++
             var sent: Sent = Sent.Done
             var isAnswered = false
             try {
@@ -265,13 +269,11 @@
         ): Sent {
             when (reply.reason) {
                 TurnRefusal.BUDGET_SPENT -> {
-                    log.info { "turn $turn refused: ${reply.detail}" }
-                    caller.answer(OwnAnswer.BUDGET_SPENT, reply.detail, turn)
+                    answer(OwnAnswer.BUDGET_SPENT, reply.detail)
                 }
                 TurnRefusal.NO_SUCH_TURN -> return missing(reply, home)
                 TurnRefusal.NOT_NOW -> {
-                    log.info { "turn $turn refused: ${reply.detail}" }
-                    caller.answer(OwnAnswer.NOT_RUN, reply.detail, turn, reply.retryAfter ?: RETRY_AFTER)
+                    answer(OwnAnswer.NOT_RUN, reply.detail, reply.retryAfter ?: RETRY_AFTER)
                 }
                 TurnRefusal.TARGET_GONE -> {
                     excluded += target.address
@@ -305,27 +307,32 @@
             }
 
         private suspend fun noSuchTurn() {
-            log.info { "turn $turn refused: no turn ${call.head.previous} is kept anywhere" }
-            caller.answer(OwnAnswer.NOT_FOUND, "no turn ${call.head.previous} is kept", turn)
+            answer(OwnAnswer.NOT_FOUND, "no turn ${call.head.previous} is kept")
         }
 
         private suspend fun notNow(reason: String) {
-            log.info { "turn $turn refused: $reason" }
-            caller.answer(OwnAnswer.NOT_RUN, reason, turn, RETRY_AFTER)
+            answer(OwnAnswer.NOT_RUN, reason, RETRY_AFTER)
         }
 
         private suspend fun tooLate() {
-            log.info { "turn $turn was not answered in time" }
             if (caller.isBegun) {
                 caller.cut("the turn was not answered in time")
             } else {
-                caller.answer(OwnAnswer.TOO_LATE, "the turn was not answered in time", turn)
+                answer(OwnAnswer.TOO_LATE, "the turn was not answered in time")
             }
         }
 
         private suspend fun broke(reason: String) {
-            log.info { "turn $turn broke off: $reason" }
-            if (caller.isBegun) caller.cut(reason) else caller.answer(OwnAnswer.BROKEN, reason, turn)
+            if (caller.isBegun) caller.cut(reason) else answer(OwnAnswer.BROKEN, reason)
+        }
+
+        private suspend fun answer(
+            answer: OwnAnswer,
+            detail: String,
+            retryAfter: Duration? = null,
+        ) {
+            call.trace.detail = detail
+            caller.answer(answer, detail, turn, retryAfter)
         }
     }
 
--- a/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
@@ -121,7 +121,7 @@
         }
         turns.incrementAndGet()
         try {
-            emitAll(TurnRunner(home, gates::send, exchange).run(call))
+            emitAll(TurnRunner(home, gates::send, exchange, time).run(call))
         } catch (e: HomeEndedException) {
             log.warn { "turn ${call.turn} broke off: ${e.message}" }
             emit(TurnRefused(TurnRefusal.NOT_HERE, e.message!!))
--- a/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
@@ -1,10 +1,12 @@
 package sycamore.homes
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.FlowCollector
 import kotlinx.coroutines.flow.firstOrNull
 import kotlinx.coroutines.flow.flow
 import kotlinx.coroutines.withTimeoutOrNull
+import sycamore.daemon.log.event
 import sycamore.links.AskPrompt
 import sycamore.links.Exchange
 import sycamore.links.LinkException
@@ -24,14 +26,19 @@
 import sycamore.turns.TurnRequest
 import sycamore.turns.TurnStart
 import sycamore.turns.TurnStarted
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+private val log = KotlinLogging.logger {}
 
 /** Runs turns of the programs that live here: keeps their history and budget, and sends them to an engine. */
 internal class TurnRunner(
     private val home: TurnHome,
     private val send: SendPrompt,
     private val exchange: Exchange,
+    private val time: TimeSource,
 ) {
     /** Runs [call], unless it is refused. */
     fun run(call: RunTurn): Flow<Message> =
@@ -47,12 +54,34 @@
             when (val start = home.table.start(request, base)) {
                 is TurnStart.Admitted -> RunningTurn(call, start.record, this).run()
                 is TurnStart.BudgetSpent ->
-                    emit(TurnRefused(TurnRefusal.BUDGET_SPENT, "the budget holds ${start.left} more tokens"))
-                TurnStart.NoSuchTurn -> emit(TurnRefused(TurnRefusal.NO_SUCH_TURN, "no turn ${call.previous} is kept"))
+                    refuse(
+                        call,
+                        TurnRefusal.BUDGET_SPENT,
+                        "the budget holds ${start.left} more tokens",
+                    )
+                TurnStart.NoSuchTurn -> refuse(call, TurnRefusal.NO_SUCH_TURN, "no turn ${call.previous} is kept")
                 TurnStart.Repeated -> emit(TurnBroke("a turn ${call.turn} was started before"))
             }
         }
 
+    private suspend fun FlowCollector<Message>.refuse(
+        call: RunTurn,
+        reason: TurnRefusal,
+        detail: String,
+    ) {
+        log.event(
+            "turn-refused",
+            "request" to call.turn,
+            "program" to call.program,
+            "previous" to call.previous,
+            "reason" to reason,
+            "detail" to detail,
+            "budget" to call.tokenBudget,
+            "most" to call.mostTokens,
+        )
+        emit(TurnRefused(reason, detail))
+    }
+
     private class BaseUnknownException(
         message: String,
     ) : Exception(message)
@@ -82,6 +111,9 @@
         private var isStartSafe = false
         private var isSuccess = false
         private var isEnded = false
+        private val arrived = time.markNow()
+        private var sentAfter: Duration? = null
+        private var begunAfter: Duration? = null
 
         suspend fun run() {
             var last: Message = TurnBroke("the gate did not answer")
@@ -98,14 +130,42 @@
                 last = TurnBroke("the engine's answer ends within an event")
             } finally {
                 if (!isEnded) breakOff(last)
+                logEnd(last)
             }
             replies.emit(last)
         }
 
+        private fun logEnd(last: Message) =
+            log.event(
+                "turn-ended",
+                "request" to call.turn,
+                "program" to call.program,
+                "previous" to call.previous,
+                "engine" to call.target.id,
+                "outcome" to outcome(last),
+                "detail" to ((last as? TurnBroke)?.reason ?: (last as? TurnRefused)?.detail),
+                "sent_ms" to sentAfter?.inWholeMilliseconds,
+                "begun_ms" to begunAfter?.inWholeMilliseconds,
+                "ms" to arrived.elapsedNow().inWholeMilliseconds,
+                "events" to events.events,
+                "time_left_ms" to call.timeLeft.inWholeMilliseconds,
+            )
+
+        private fun outcome(last: Message): String =
+            when (last) {
+                is TurnWhole -> if (isSuccess) "whole" else "failed"
+                is TurnRefused -> "refused"
+                else -> "broken"
+            }
+
         private suspend fun take(message: Message) {
             when (message) {
-                TurnSent -> start = home.journal.append(record)
+                TurnSent -> {
+                    sentAfter = arrived.elapsedNow()
+                    start = home.journal.append(record)
+                }
                 is TurnBegun -> {
+                    begunAfter = arrived.elapsedNow()
                     isSuccess = message.status in SUCCESSES
                     pass(message)
                 }
