Verify a program's home before its second turn, ask every registered home, keep to retainers that answer

Cause: a program that came back without a previous turn began anew at another home, so its budget began anew (BUDGET); homes whose engine had left were not asked, and counted as lost (LOST); a turn was told as not run though its home ended after it was sent (TWICE); registrations of hosts that are gone were named as retainers, so that a takeover waited for ever (LOST); an exception in a takeover ended the daemon.

--- a/forwarding/src/main/kotlin/sycamore/forwarding/CallerServer.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/CallerServer.kt
@@ -7,8 +7,10 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
+import org.eclipse.jetty.io.EndPoint
 import org.eclipse.jetty.server.Handler
 import org.eclipse.jetty.server.HttpConfiguration
 import org.eclipse.jetty.server.HttpConnectionFactory
@@ -21,8 +23,9 @@
 import sycamore.daemon.Program
 import sycamore.model.Address
 import sycamore.routing.CallerLimits
-import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.ConcurrentHashMap
 import kotlin.coroutines.CoroutineContext
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Serves one request. It is cancelled when the caller leaves. */
 typealias ServeCaller = suspend (CallerExchange) -> Unit
@@ -40,7 +43,7 @@
 ) : AutoCloseable {
     private val scope = CoroutineScope(context + SupervisorJob(context[Job]))
     private val server = Server(QueuedThreadPool(MAX_THREADS, MIN_THREADS))
-    private val open = AtomicInteger()
+    private val busy = ConcurrentHashMap.newKeySet<EndPoint>()
     private val http = HttpConfiguration().apply { sendServerVersion = false }
     private val connector = ServerConnector(server, 1, 1, HttpConnectionFactory(http))
 
@@ -48,9 +51,6 @@
     @Volatile
     var isLeaving = false
 
-    /** Requests that are not answered yet. */
-    val requests: Int get() = open.get()
-
     /** Begins to listen. */
     fun start(): CallerServer =
         apply {
@@ -64,8 +64,15 @@
             Program.listeningOn(address) { server.start() }
         }
 
-    /** Accepts no more connections; those that are open go on. */
-    fun stopAccepting() = connector.close()
+    /** Accepts no more connections, closes those without a request, and returns when the last one has ended. */
+    suspend fun leave() {
+        isLeaving = true
+        connector.close()
+        while (connector.connectedEndPoints.isNotEmpty()) {
+            connector.connectedEndPoints.filter { it !in busy }.forEach { it.close() }
+            delay(CHECK)
+        }
+    }
 
     override fun close() {
         scope.cancel()
@@ -82,9 +89,9 @@
             endPoint.idleTimeout = limits().idleTimeout.inWholeMilliseconds
             val exchange = CallerExchange(request, response, callback)
             if (isLeaving) exchange.closeAfterwards()
-            open.incrementAndGet()
+            busy += endPoint
             val job = scope.launch(start = CoroutineStart.LAZY) { attempt(exchange) }
-            job.invokeOnCompletion { open.decrementAndGet() }
+            job.invokeOnCompletion { busy -= endPoint }
             job.start()
             return true
         }
@@ -106,6 +113,8 @@
     private companion object {
         val log = KotlinLogging.logger {}
 
+        val CHECK = 20.milliseconds
+
         /** Threads for reading and writing; requests themselves hold none. */
         const val MAX_THREADS = 16
         const val MIN_THREADS = 4
--- a/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
@@ -1,8 +1,11 @@
 package sycamore.gateway
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.job
+import kotlinx.coroutines.launch
 import sycamore.daemon.log.event
 import sycamore.forwarding.BodyTooLargeException
 import sycamore.forwarding.CallerExchange
@@ -34,20 +37,32 @@
     client: UpstreamClient,
     private val time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
 ) {
-    /** The routes. */
-    val routes = RoutesInForce(keys)
+    private val routes = RoutesInForce(keys)
+    private val upstreams = UpstreamDirectory(keys, time)
 
-    /** The upstreams. */
-    val upstreams = UpstreamDirectory(keys, time)
-
-    internal val board = GateBoard(upstreams, routes, exchange, settings.firstPort, time)
-    private val homes = ProgramHomes(settings.place.name, board, keys, exchange)
+    private val board = GateBoard(upstreams, routes, exchange, settings.firstPort, time)
+    private val homeList = HomeList(keys)
+    private val homes = ProgramHomes(settings.place.name, board, homeList, exchange, time)
     private val plain = PlainCalls(upstreams, UpstreamLoads(settings.place.name, time), client)
     private val turns = TurnCalls(settings.place.name, homes, board, ::engine, exchange)
 
     /** Whether callers may be sent here. */
     val isReady: Boolean get() = routes.table.value != null && upstreams.isRead
 
+    /** Follows what the platform and the homes say, until cancelled. */
+    suspend fun run() {
+        coroutineScope {
+            launch { routes.run() }
+            launch { upstreams.run(this) }
+            launch { homeList.run() }
+            launch { board.run() }
+            while (true) {
+                delay(SWEEP)
+                homes.dropIdle()
+            }
+        }
+    }
+
     /** What callers may send now. */
     fun limits(): CallerLimits = routes.table.value?.limits ?: FIRST_LIMITS
 
@@ -171,6 +186,8 @@
     ) = table?.services?.get(service)?.engine
 
     private companion object {
+        val SWEEP = 10.seconds
+
         /** Until a configuration is known. */
         val FIRST_LIMITS =
             CallerLimits(
--- a/gateway/src/main/kotlin/sycamore/gateway/Main.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/Main.kt
@@ -4,7 +4,6 @@
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.http4k.core.Status
@@ -13,7 +12,6 @@
 import sycamore.forwarding.CallerServer
 import sycamore.forwarding.PlatformDaemon
 import sycamore.forwarding.UpstreamClient
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Runs the daemon that serves callers of the platform. */
@@ -25,9 +23,7 @@
     Program.daemon("sycamore-gateway") {
         val runtime = PlatformDaemon(settings)
         val gateway = Gateway(settings, runtime.keys, runtime.links::exchange, UpstreamClient())
-        launch { gateway.routes.run() }
-        launch { gateway.upstreams.run(this) }
-        launch { gateway.board.run() }
+        launch { gateway.run() }
         val server = CallerServer(callers, gateway::limits, Dispatchers.Default, gateway::serve).start()
         var isLeaving = false
         Http.serve(
@@ -40,9 +36,7 @@
             isLeaving = true
             server.isLeaving = true
             delay(OUT_OF_ROTATION)
-            server.stopAccepting()
-            withTimeoutOrNull(settings.bounds.grace) { while (server.requests > 0) delay(CHECK) }
-            delay(LAST_BYTES)
+            server.leave()
         }
         awaitCancellation()
     }
@@ -50,5 +44,3 @@
 
 /** The platform sends no new callers here after two questions without a good answer, one each second. */
 private val OUT_OF_ROTATION = 2.5.seconds
-private val CHECK = 20.milliseconds
-private val LAST_BYTES = 0.2.seconds
--- a/gateway/src/main/kotlin/sycamore/gateway/ProgramHomes.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/ProgramHomes.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.flow.firstOrNull
 import kotlinx.coroutines.withTimeoutOrNull
+import sycamore.daemon.log.event
 import sycamore.links.Exchange
 import sycamore.links.FindProgram
 import sycamore.links.HomeAt
@@ -20,23 +21,28 @@
 import sycamore.model.PlaceName
 import sycamore.routing.AttemptId
 import sycamore.routing.ProgramName
-import sycamore.services.KeyValue
-import sycamore.services.Read
-import sycamore.turns.HomeEntry
-import sycamore.turns.HomeKeys
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 
 private val log = KotlinLogging.logger {}
 
 /** Where a program's next turn goes. */
 internal sealed interface Located {
-    /** It lives at [home]; the turn that it continues lives at [previousAt] if that is another home. */
+    /**
+     * It lives at [home].
+     *
+     * @property previousAt the home of the turn that it continues, if that is another one.
+     * @property isCertain whether no other home can have the program.
+     */
     data class At(
         val home: HomeAt,
         val previousAt: HomeAt?,
+        val isCertain: Boolean,
     ) : Located
 
     /** No home has it. The turn that it continues lives at [previousAt]; null if it continues none. */
@@ -57,28 +63,33 @@
 internal class ProgramHomes(
     private val place: PlaceName,
     private val board: GateBoard,
-    private val keys: KeyValue,
+    private val list: HomeList,
     private val exchange: Exchange,
+    private val time: TimeSource.WithComparableMarks,
 ) {
-    private val known = ConcurrentHashMap<ProgramName, HomeAt>()
-    private val successors = ConcurrentHashMap<HomeId, HomeAt>()
+    private class Known(
+        val home: HomeAt,
+        val at: ComparableTimeMark,
+    )
+
+    /** What one home said. */
+    private class Heard(
+        val home: HomeAt,
+        val found: ProgramFound,
+    )
+
+    private val known = ConcurrentHashMap<ProgramName, Known>()
     private val takeovers = ConcurrentHashMap<HomeId, CompletableDeferred<HomeAt?>>()
 
     /** The home of [program], if this process knows it. */
-    fun known(program: ProgramName): HomeAt? = known[program]?.let(::present)
-
-    private fun present(home: HomeAt): HomeAt {
-        var next = home
-        repeat(MAX_SUCCESSORS) { next = successors[next.home] ?: return next }
-        return next
-    }
+    fun known(program: ProgramName): HomeAt? = known[program]?.let { list.present(it.home) }
 
     /** [program] lives at [home]. */
     fun learn(
         program: ProgramName,
         home: HomeAt,
     ) {
-        known[program] = home
+        known[program] = Known(home, time.markNow())
     }
 
     /** What was known of [program]'s home is wrong. */
@@ -86,54 +97,72 @@
         known.remove(program)
     }
 
-    /** Asks all daemons for [program] and for the turn [previous] that it continues. */
+    /** Drops programs that no call came of for long. */
+    fun dropIdle() {
+        known.values.removeIf { it.at.elapsedNow() > KEEP }
+    }
+
+    /** Asks all homes for [program] and for the turn [previous] that it continues. */
     suspend fun locate(
         program: ProgramName,
         previous: AttemptId?,
     ): Located {
-        val hosts = board.all.map { it.address }.distinct()
-        val replies = askAll(hosts, FindProgram(program, previous))
-        val home = replies.firstOrNull { (_, found) -> found.hasProgram }?.let(::homeAt)
-        val previousAt = replies.firstOrNull { (_, found) -> found.hasPrevious }?.let(::homeAt)
-        if (home != null) learn(program, home)
+        val serving = list.serving
+        val heard = askAll(serving, FindProgram(program, previous))
+        val owner = heard.filter { it.found.hasProgram }.maxByOrNull { it.found.tokens }?.home
+        val previousAt = heard.firstOrNull { it.found.hasPrevious }?.home
+        if (owner != null) learn(program, owner)
+        val isCertain = list.isRead && isComplete(serving, heard)
         return when {
-            home != null && (previous == null || previousAt != null) -> Located.At(home, previousAt)
-            previous == null -> Located.Nowhere(null)
-            previousAt != null -> Located.Nowhere(previousAt)
-            else -> settleMissing(previous, replies)
+            previous == null || previousAt != null ->
+                if (owner == null) Located.Nowhere(previousAt) else Located.At(owner, previousAt, isCertain)
+            isCertain -> settleMissing(heard)
+            else -> recover(serving, heard)
         }
     }
 
-    private fun homeAt(reply: Pair<Address, ProgramFound>): HomeAt? = reply.second.home?.let { HomeAt(it, reply.first) }
+    private fun isComplete(
+        serving: List<HomeAt>,
+        heard: List<Heard>,
+    ): Boolean {
+        val complete = heard.filter { it.found.isComplete }.map { it.home.home }.toSet()
+        return serving.all { it.home in complete }
+    }
+
+    /** Nobody has the turn. It does not exist if the homes that were asked are all that there are. */
+    private suspend fun settleMissing(heard: List<Heard>): Located {
+        val serving = list.readServing() ?: return Located.NotNow("the homes cannot be listed now")
+        return if (isComplete(serving, heard)) Located.NoSuchTurn else Located.NotNow("a home has come up meanwhile")
+    }
 
-    /** Nobody has [previous]. Whether it exists cannot be told before all homes that ever served were heard. */
-    private suspend fun settleMissing(
-        previous: AttemptId,
-        replies: List<Pair<Address, ProgramFound>>,
+    /** Has the homes of [serving] that are not heard taken over. */
+    private suspend fun recover(
+        serving: List<HomeAt>,
+        heard: List<Heard>,
     ): Located {
-        val serving = serving() ?: return Located.NotNow("the homes cannot be listed now")
-        val heard = replies.mapNotNull { it.second.home }.toSet()
-        val unheard = serving.filter { it.home !in heard }
-        if (unheard.isEmpty()) {
-            return if (replies.all { it.second.isComplete }) {
-                Located.NoSuchTurn
-            } else {
-                Located.NotNow("a home is still being taken over")
-            }
-        }
-        log.info { "turn $previous is not known, and homes ${unheard.map { it.home }} are not heard" }
-        unheard.forEach { takeOver(HomeAt(it.home, it.address)) }
-        return Located.NotNow("homes that are not heard are being taken over")
+        val answering = heard.map { it.home.home }.toSet()
+        val silent = serving.filter { it.home !in answering }
+        if (silent.isEmpty()) return Located.NotNow("a home is still taking over another one")
+        log.event("homes-not-heard", "homes" to silent.map { it.home })
+        coroutineScope { silent.map { async { takeOver(it) } }.awaitAll() }
+        return Located.NotNow("homes that are not heard: ${silent.map { it.home }}")
     }
 
-    private suspend fun serving(): List<HomeEntry>? {
-        val read = keys.list(HomeKeys.PREFIX) as? Read.Found ?: return null
-        return read.value.mapNotNull { it.value?.let(HomeKeys::decode) }.filter { it.successor == null }
+    /** Makes sure that no home but the one that [locate] tells has [program]; [Located.NotNow] if that cannot be told. */
+    suspend fun verify(program: ProgramName): Located {
+        val serving = list.serving
+        val heard = askAll(serving, FindProgram(program, null))
+        val owner = heard.filter { it.found.hasProgram }.maxByOrNull { it.found.tokens }?.home
+        if (!list.isRead || !isComplete(serving, heard)) return recover(serving, heard)
+        if (owner == null) return Located.Nowhere(null)
+        learn(program, owner)
+        return Located.At(owner, null, isCertain = true)
     }
 
     /** Has [lost] taken over by another host; null when none can do so now. */
     suspend fun takeOver(lost: HomeAt): HomeAt? {
-        successors[lost.home]?.let { return present(it) }
+        val present = list.present(lost)
+        if (present != lost) return present
         val result = CompletableDeferred<HomeAt?>()
         val other = takeovers.putIfAbsent(lost.home, result)
         if (other != null) return other.await()
@@ -153,6 +182,7 @@
                 .filter { it.address != lost.address && it.status?.home != null && !it.status.isLeaving }
                 .sortedWith(
                     compareBy(
+                        { it.upstream.isLeaving },
                         { it.upstream.place != place },
                         { (lost.home.toString() + it.address).hashCode() },
                     ),
@@ -160,8 +190,7 @@
         for (candidate in candidates.take(MAX_CANDIDATES)) {
             val reply = ask(candidate.address, TakeHome(lost), TAKE_LIMIT)
             if (reply is HomeTaken) {
-                successors[lost.home] = reply.successor
-                log.info { "home ${lost.home} was taken over by ${reply.successor.home}" }
+                list.learn(lost.home, reply.successor)
                 return reply.successor
             }
         }
@@ -169,14 +198,16 @@
     }
 
     private suspend fun askAll(
-        hosts: List<Address>,
+        homes: List<HomeAt>,
         message: Message,
-    ): List<Pair<Address, ProgramFound>> =
+    ): List<Heard> =
         coroutineScope {
-            hosts
-                .map { host -> async { (ask(host, message, FIND_LIMIT) as? ProgramFound)?.let { host to it } } }
+            homes
+                .map { home -> async { (ask(home.address, message, FIND_LIMIT) as? ProgramFound)?.let { home to it } } }
                 .awaitAll()
                 .filterNotNull()
+                .filter { (home, found) -> found.home == home.home }
+                .map { (home, found) -> Heard(home, found) }
         }
 
     private suspend fun ask(
@@ -191,7 +222,6 @@
         }
 
     private companion object {
-        const val MAX_SUCCESSORS = 8
         const val MAX_CANDIDATES = 3
 
         /** The way to the farthest region and back, several times. */
@@ -199,5 +229,8 @@
 
         /** A takeover asks the lost home, the store and the retainers. */
         val TAKE_LIMIT = 2.seconds
+
+        /** Longer than any route keeps a turn. */
+        val KEEP = 5.minutes
     }
 }
--- a/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
@@ -48,6 +48,9 @@
         /** The caller has its last word. */
         data object Done : Sent
 
+        /** The turn did not run, since its program's home has to be verified first. */
+        data object Again : Sent
+
         /** The turn did not run; it may be sent elsewhere. */
         class Elsewhere(
             val reason: String,
@@ -67,6 +70,7 @@
     ) {
         private val excluded = HashSet<Address>()
         private var lastReason = "no engine takes turns"
+        private var isUnverified = false
 
         suspend fun run() {
             while (call.timeLeft > LEAST_TIME) {
@@ -77,13 +81,13 @@
                         if (call.timeLeft < PATIENCE) return notNow(located.reason)
                         delay(PAUSE)
                     }
-                    is Located.At -> if (send(located.home, located.previousAt)) return
+                    is Located.At -> if (send(located.home, located.previousAt, located.isCertain)) return
                     is Located.Nowhere -> {
                         val home = newHome()
                         if (home == null) {
                             if (call.timeLeft < PATIENCE) return notNow(lastReason)
                             delay(PAUSE)
-                        } else if (send(home, located.previousAt)) {
+                        } else if (send(home, located.previousAt, isVerified = false)) {
                             return
                         }
                     }
@@ -95,7 +99,8 @@
         private suspend fun locate(): Located {
             val home = homes.known(program)
             return when {
-                home != null -> Located.At(home, null)
+                isUnverified -> homes.verify(program).also { isUnverified = it is Located.NotNow }
+                home != null -> Located.At(home, null, isCertain = false)
                 call.head.previous == null -> Located.Nowhere(null)
                 else -> homes.locate(program, call.head.previous)
             }
@@ -128,6 +133,7 @@
         private suspend fun send(
             home: HomeAt,
             previousAt: HomeAt?,
+            isVerified: Boolean,
         ): Boolean {
             val target = target(home)
             if (target == null) {
@@ -135,8 +141,9 @@
                 delay(PAUSE)
                 return false
             }
-            return when (val sent = sendTo(home, previousAt, target)) {
+            return when (val sent = sendTo(home, target, message(previousAt, isVerified, target))) {
                 Sent.Done -> true
+                Sent.Again -> false
                 is Sent.Elsewhere -> {
                     lastReason = sent.reason
                     log.event("turn-sent-elsewhere", "request" to turn, "home" to home.home, "detail" to sent.reason)
@@ -172,10 +179,9 @@
 
         private suspend fun sendTo(
             home: HomeAt,
-            previousAt: HomeAt?,
             target: EngineHost,
+            message: RunTurn,
         ): Sent {
-            val message = message(previousAt, target)
             board.placed(target.address)
             call.trace.home = home.home
             call.trace.upstream = target.upstream.id
@@ -212,6 +218,7 @@
 
         private fun message(
             previousAt: HomeAt?,
+            isVerified: Boolean,
             target: EngineHost,
         ): RunTurn {
             val profile = engines(call)
@@ -220,6 +227,7 @@
                 turn = turn,
                 previous = call.head.previous,
                 previousAt = previousAt,
+                isVerified = isVerified,
                 target = target.upstream,
                 targetHost = target.address,
                 engineSlots = profile?.slots ?: target.upstream.slots,
@@ -279,6 +287,10 @@
                     excluded += target.address
                     return Sent.Elsewhere(reply.detail)
                 }
+                TurnRefusal.NOT_VERIFIED -> {
+                    isUnverified = true
+                    return Sent.Again
+                }
                 TurnRefusal.NOT_HERE -> {
                     homes.forget(program)
                     return Sent.Elsewhere(reply.detail)
@@ -301,7 +313,16 @@
                     if (located.previousAt == null || located.previousAt.home == home.home) {
                         Sent.Elsewhere(reply.detail)
                     } else {
-                        if (send(located.home, located.previousAt)) Sent.Done else Sent.Elsewhere(reply.detail)
+                        if (send(
+                                located.home,
+                                located.previousAt,
+                                located.isCertain,
+                            )
+                        ) {
+                            Sent.Done
+                        } else {
+                            Sent.Elsewhere(reply.detail)
+                        }
                     }
                 else -> Sent.Elsewhere(reply.detail)
             }
--- a/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
@@ -1,7 +1,10 @@
 package sycamore.homes
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.FlowCollector
@@ -38,6 +41,7 @@
 import sycamore.turns.HomeEntry
 import sycamore.turns.HomeKeys
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.coroutines.CoroutineContext
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -51,12 +55,13 @@
     private val keys: KeyValue,
     private val exchange: Exchange,
     client: UpstreamClient,
-    private val scope: CoroutineScope,
+    context: CoroutineContext,
     private val time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
 ) {
+    private val scope = CoroutineScope(context + SupervisorJob(context[Job]) + CoroutineExceptionHandler(::failed))
     private val gate = EngineGate(time)
     private val gates = GateRunner(settings.upstream, gate, client, exchange, time)
-    private val retainers = RetainerDirectory(keys, settings.place.name) { home.journal.check() }
+    private val retainers = RetainerDirectory(keys, settings.place.name, exchange, time) { home.journal.check() }
     private val takeovers = HomeTakeovers(keys, exchange, scope, time) { home }
     private val turns = AtomicInteger()
 
@@ -87,7 +92,7 @@
     /** Does the daemon's background work until cancelled. */
     suspend fun run() {
         scope.launch { retainers.run() }
-        while (true) {
+        while (!isLeaving) {
             val current = home
             val taking =
                 scope.launch {
@@ -96,7 +101,7 @@
                 }
             current.run()
             taking.cancel()
-            home = newHome()
+            if (!isLeaving) home = newHome()
         }
     }
 
@@ -122,9 +127,6 @@
         turns.incrementAndGet()
         try {
             emitAll(TurnRunner(home, gates::send, exchange, time).run(call))
-        } catch (e: HomeEndedException) {
-            log.warn { "turn ${call.turn} broke off: ${e.message}" }
-            emit(TurnRefused(TurnRefusal.NOT_HERE, e.message!!))
         } finally {
             turns.decrementAndGet()
         }
@@ -138,6 +140,7 @@
         return ProgramFound(
             home = home.id.takeIf { home.isReady },
             hasProgram = home.table.has(message.program),
+            tokens = home.table.committedTokens(message.program),
             hasPrevious = message.previous?.let { home.table.programWithWhole(it) } != null,
             isComplete = !hasFormer && !takeovers.isBusy,
         )
@@ -173,6 +176,19 @@
             .sortedBy { if (it.home.place == settings.place.name) 0 else 1 }
     }
 
+    private fun failed(
+        @Suppress("UNUSED_PARAMETER") context: CoroutineContext,
+        cause: Throwable,
+    ) {
+        if (cause is HomeEndedException) {
+            log.info { cause.message!! }
+        } else {
+            log.error(
+                cause,
+            ) { "work of the daemon failed" }
+        }
+    }
+
     private companion object {
         val CHECK = 20.milliseconds
         val HAND_OVER_LIMIT: Duration = 1500.milliseconds
--- a/homes/src/main/kotlin/sycamore/homes/HomeJournal.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeJournal.kt
@@ -15,6 +15,7 @@
 import sycamore.services.Read
 import sycamore.services.Revision
 import sycamore.services.Write
+import sycamore.turns.HomeKeys
 import sycamore.turns.LogRecord
 import sycamore.turns.LogSegment
 import sycamore.turns.LogSegments
@@ -46,7 +47,7 @@
     val home: HomeId,
     private val keys: KeyValue,
     private val time: TimeSource.WithComparableMarks,
-    private val wanted: () -> List<Retainer>,
+    private val wanted: (named: List<Retainer>) -> List<Retainer>,
 ) {
     private class Pending(
         val record: LogRecord,
@@ -119,6 +120,12 @@
         if (ended.complete(successor)) log.warn { "home $home was taken over by $successor" }
     }
 
+    /** Reads whether this home was taken over, after a retainer refused its records. */
+    suspend fun verify() {
+        val entry = (keys.get(HomeKeys.key(home)) as? Read.Found)?.value?.value?.let(HomeKeys::decode)
+        entry?.successor?.let(::end)
+    }
+
     /** The wanted retainers may have changed. */
     fun check() {
         wake.trySend(Unit)
@@ -150,7 +157,7 @@
         lock.withLock {
             val oldest = pending.firstOrNull()
             when {
-                wanted() != named.value -> Duration.ZERO
+                wanted(named.value) != named.value -> Duration.ZERO
                 oldest == null -> CHECK_PERIOD
                 isUrgent || pendingBytes >= SEGMENT_BYTES -> Duration.ZERO
                 else -> minOf(COMMIT_PERIOD - oldest.since.elapsedNow(), CHECK_PERIOD)
@@ -158,7 +165,7 @@
         }
 
     private fun nextSegment(): LogSegment {
-        val retainers = wanted()
+        val retainers = wanted(named.value)
         return lock.withLock {
             val records = takeBatch()
             LogSegment(home, "$home-${sequence + 1}", records, retainers, formerlyNamed(retainers, records))
--- a/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
@@ -10,6 +10,8 @@
 import kotlinx.coroutines.flow.firstOrNull
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import sycamore.daemon.log.event
+import sycamore.daemon.log.warning
 import sycamore.links.AskGate
 import sycamore.links.Declined
 import sycamore.links.DropHome
@@ -39,6 +41,7 @@
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
@@ -69,6 +72,8 @@
         scope.launch {
             try {
                 result.complete(attempt(order))
+            } catch (e: HomeEndedException) {
+                result.complete(Declined(e.message!!, RETRY))
             } finally {
                 running.remove(lost)
                 result.complete(Declined("the takeover of $lost failed", RETRY))
@@ -102,12 +107,12 @@
         if (lost.home == home.id) return Declined("${lost.home} is alive")
         if (!home.isReady) return Declined("${home.id} is not ready", RETRY)
         if (!order.isWilling && isAlive(lost)) return Declined("${lost.home} is alive", RETRY)
-        val entry = claim(lost, home) ?: return Declined("the key-value service does not answer", RETRY)
-        val successor = entry.successor!!
-        if (successor != home.id) return HomeTaken(lost.home, HomeAt(successor, entry.successorAddress!!))
         claimed.incrementAndGet()
         try {
-            recoverUntilDone(lost.home, home)
+            val entry = claim(lost, home) ?: return Declined("the key-value service does not answer", RETRY)
+            val successor = entry.successor!!
+            if (successor != home.id) return HomeTaken(lost.home, HomeAt(successor, entry.successorAddress!!))
+            recoverUntilDone(lost, home)
         } finally {
             claimed.decrementAndGet()
         }
@@ -116,9 +121,19 @@
         return HomeTaken(lost.home, at)
     }
 
+    /** Whether [lost] serves. A daemon that does not answer is asked for long enough, since it may only be slow. */
     private suspend fun isAlive(lost: HomeAt): Boolean {
-        val status = ask(lost.address, AskGate, ALIVE_LIMIT) as? GateStatus
-        return status?.home == lost.home
+        val began = time.markNow()
+        while (began.elapsedNow() < ALIVE_LIMIT) {
+            try {
+                val status = withTimeoutOrNull(ALIVE_LIMIT) { exchange(lost.address, AskGate).firstOrNull() }
+                if (status is GateStatus) return status.home == lost.home
+            } catch (e: LinkException) {
+                if (e.isRefused) return false
+            }
+            delay(ALIVE_PAUSE)
+        }
+        return false
     }
 
     /** The entry of [lost] once it names a successor; null when that cannot be told now. */
@@ -143,7 +158,7 @@
 
     /** A home that was claimed gets no other successor, so its claimant goes on until the programs are here. */
     private suspend fun recoverUntilDone(
-        lost: HomeId,
+        lost: HomeAt,
         home: TurnHome,
     ) {
         val began = time.markNow()
@@ -151,28 +166,44 @@
             home.journal.requireAlive()
             delay(RETRY)
         }
-        log.info { "${home.id} took over $lost in ${began.elapsedNow().inWholeMilliseconds} ms" }
+        log.event(
+            "home-taken-over",
+            "lost" to lost.home,
+            "home" to home.id,
+            "ms" to began.elapsedNow().inWholeMilliseconds,
+        )
     }
 
+    /** Takes in the programs of [lost], and of homes that [lost] itself had claimed and not merged yet. */
     private suspend fun recover(
-        lost: HomeId,
+        lost: HomeAt,
         home: TurnHome,
     ): Boolean {
-        val sealed = seals.seal(lost, home.id)
-        if (sealed == null) {
-            log.warn { "the log of $lost cannot be read now" }
-            return false
+        val entries = entries() ?: return cannot("the homes cannot be listed", lost.home)
+        val open = ArrayDeque(listOf(lost.home))
+        val seen = LinkedHashSet<HomeId>()
+        while (open.isNotEmpty()) {
+            val next = open.removeFirst()
+            if (!seen.add(next)) continue
+            open += entries.filter { it.successor == next && !it.isMerged }.map { it.home }
         }
-        val retained = collect(sealed)
-        if (retained == null) {
-            log.warn { "retainers of $lost cannot be asked now" }
-            return false
+        val logs = seen.map { seals.seal(it, home.id) ?: return cannot("the log cannot be read", it) }
+        val retained = logs.map { collect(it) ?: return cannot("the retainers cannot be asked", it.home) }
+        logs.zip(retained).forEach { (log, kept) ->
+            home.adopt((log.records + kept).distinctBy { it.number }.map { TurnRecords.decode(it.bytes) })
         }
-        home.adopt((sealed.records + retained).distinctBy { it.number }.map { TurnRecords.decode(it.bytes) })
-        scope.launch { free(sealed, home) }
+        scope.launch { logs.forEach { free(it, home) } }
         return true
     }
 
+    private fun cannot(
+        reason: String,
+        lost: HomeId,
+    ): Boolean {
+        log.warning("home-takeover-waits", "lost" to lost, "detail" to reason)
+        return false
+    }
+
     /** The records that retainers keep of [lost]; null when too few of them can be asked. */
     private suspend fun collect(lost: LostHome): List<LogRecord>? {
         val asked = lost.retainers.flatten().distinctBy { it.id }
@@ -202,6 +233,7 @@
     ) {
         home.journal.flush()
         if (home.journal.ended.isCompleted) return
+        markMerged(lost.home, home)
         seals.free(lost)
         lost.retainers
             .flatten()
@@ -209,6 +241,21 @@
             .forEach { ask(it.address, DropHome(lost.home), COLLECT_LIMIT) }
     }
 
+    private suspend fun markMerged(
+        lost: HomeId,
+        home: TurnHome,
+    ) {
+        while (true) {
+            val item = (keys.get(HomeKeys.key(lost)) as? Read.Found)?.value
+            if (item != null) {
+                val entry = HomeEntry(lost, home.address, home.id, home.address, isMerged = true)
+                val write = keys.put(item.key, HomeKeys.encode(entry), item.version, ENTRY_LEASE)
+                if (write is Write.Taken || write is Write.Conflict) return
+            }
+            delay(RETRY)
+        }
+    }
+
     private suspend fun ask(
         to: Address,
         message: Message,
@@ -222,8 +269,12 @@
         }
 
     private companion object {
-        /** A daemon that lives answers within the way there and back; one that is slowed may take longer. */
-        val ALIVE_LIMIT = 400.milliseconds
+        /** Callers of turns wait for 3 s; a daemon that is silent for half of that is given up. */
+        val ALIVE_LIMIT = 1200.milliseconds
+        val ALIVE_PAUSE = 100.milliseconds
+
+        /** Programs of the lost home are kept for a minute or so; a process that was paused for longer has none left. */
+        val ENTRY_LEASE = 10.minutes
         val COLLECT_LIMIT = 1.seconds
         val RETRY = 300.milliseconds
     }
--- a/homes/src/main/kotlin/sycamore/homes/RecordRetention.kt
+++ b/homes/src/main/kotlin/sycamore/homes/RecordRetention.kt
@@ -36,7 +36,7 @@
     private val journal: HomeJournal,
     private val place: PlaceName,
     private val exchange: Exchange,
-    private val refused: (RetainerId) -> Unit,
+    private val directory: RetainerDirectory,
 ) {
     /** What one retainer keeps: the records above [from] up to [kept]. */
     private data class Kept(
@@ -108,12 +108,13 @@
             val reply = ask(retainer, KeepRecords(retainer.id, journal.home, committed, records))
             when (reply) {
                 is Done -> {
+                    directory.answered(retainer.id)
                     told = committed
                     change(retainer.id) { it.copy(kept = records.lastOrNull()?.number ?: it.kept, isLate = false) }
                 }
                 is Declined -> {
                     log.warn { "retainer ${retainer.host} refused records of ${journal.home}: ${reply.reason}" }
-                    refused(retainer.id)
+                    journal.verify()
                     change(retainer.id) { it.copy(isLate = true) }
                     delay(RETRY)
                 }
--- a/homes/src/main/kotlin/sycamore/homes/TurnHome.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnHome.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import sycamore.daemon.log.event
 import sycamore.links.Exchange
 import sycamore.model.Address
 import sycamore.model.HomeId
@@ -39,7 +40,7 @@
 ) {
     val table = TurnTable(time)
     val journal = HomeJournal(id, keys, time, retainers::choose)
-    val retention = RecordRetention(journal, place, exchange, retainers::lost)
+    val retention = RecordRetention(journal, place, exchange, retainers)
 
     /** Whether it is registered, so that a successor would find its log. */
     @Volatile
@@ -85,7 +86,13 @@
             journal.append(record)
         }
         val whole = records.count { it is TurnFinished }
-        log.info { "home $id adopted ${records.size} records, $whole whole turns, ${broken.size} turns broken off" }
+        log.event(
+            "programs-adopted",
+            "home" to id,
+            "records" to records.size,
+            "whole" to whole,
+            "broken" to broken.size,
+        )
     }
 
     private suspend fun dropIdle() {
--- a/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
@@ -50,7 +50,15 @@
                     return@flow emit(TurnRefused(TurnRefusal.NOT_NOW, e.message!!, LATER))
                 }
             val request =
-                TurnRequest(call.program, call.turn, call.previous, call.input, call.tokenBudget, call.mostTokens)
+                TurnRequest(
+                    call.program,
+                    call.turn,
+                    call.previous,
+                    call.input,
+                    call.tokenBudget,
+                    call.mostTokens,
+                    call.isVerified,
+                )
             when (val start = home.table.start(request, base)) {
                 is TurnStart.Admitted -> RunningTurn(call, start.record, this).run()
                 is TurnStart.BudgetSpent ->
@@ -60,6 +68,7 @@
                         "the budget holds ${start.left} more tokens",
                     )
                 TurnStart.NoSuchTurn -> refuse(call, TurnRefusal.NO_SUCH_TURN, "no turn ${call.previous} is kept")
+                TurnStart.Unverified -> emit(TurnRefused(TurnRefusal.NOT_VERIFIED, "another home may have the program"))
                 TurnStart.Repeated -> emit(TurnBroke("a turn ${call.turn} was started before"))
             }
         }
@@ -124,6 +133,8 @@
                 }
             } catch (e: LinkException) {
                 last = if (e.sent) TurnBroke("the gate was lost: ${e.message}") else notReached(e)
+            } catch (e: HomeEndedException) {
+                last = if (start == null) TurnRefused(TurnRefusal.NOT_HERE, e.message!!) else TurnBroke(e.message!!)
             } catch (_: NotKeptException) {
                 last = TurnBroke("the turn's start could not be kept within $SAFE_LIMIT")
             } catch (_: CutOffException) {
--- a/links/src/main/kotlin/sycamore/links/Exchange.kt
+++ b/links/src/main/kotlin/sycamore/links/Exchange.kt
@@ -18,8 +18,10 @@
  * The link to a daemon failed.
  *
  * @property sent whether the message may have reached the receiver.
+ * @property isRefused whether the receiver's host says that no daemon listens there.
  */
 class LinkException(
     message: String,
     val sent: Boolean,
+    val isRefused: Boolean = false,
 ) : Exception(message)
--- a/links/src/main/kotlin/sycamore/links/LinkClient.kt
+++ b/links/src/main/kotlin/sycamore/links/LinkClient.kt
@@ -17,6 +17,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.model.Address
 import sycamore.model.HostName
+import java.net.ConnectException
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.coroutines.CoroutineContext
 import kotlin.time.Duration.Companion.seconds
@@ -104,10 +105,14 @@
         } catch (e: Exception) {
             pipe?.close()
             if (e is LinkRefusedException) log.warn { "no link to $to: ${e.message}" }
-            throw LinkException("cannot reach $to: ${e.message}", sent = false)
+            throw LinkException("cannot reach $to: ${e.message}", sent = false, isRefused = isRefusal(e))
         }
     }
 
+    /** Whether the host answered that nobody listens, rather than not at all. */
+    private fun isRefusal(failure: Exception): Boolean =
+        failure is ConnectException && failure.message?.contains("refused", ignoreCase = true) == true
+
     private suspend fun closeUnused() {
         while (true) {
             delay(SWEEP)
--- a/links/src/main/kotlin/sycamore/links/TurnMessage.kt
+++ b/links/src/main/kotlin/sycamore/links/TurnMessage.kt
@@ -29,6 +29,7 @@
  * Entry to home: run a turn. Answered by [TurnRefused], or by [TurnBegun], [TurnBytes] and [TurnWhole] or [TurnBroke].
  *
  * @property previousAt the home of [previous], if that is not the receiver.
+ * @property isVerified whether it is certain that no other home has the program.
  * @property target the engine that it shall run at.
  * @property targetHost the daemon beside that engine; null if there is none.
  * @property engineSlots calls that the engine runs at once.
@@ -45,6 +46,7 @@
     val turn: AttemptId,
     val previous: AttemptId?,
     val previousAt: HomeAt?,
+    val isVerified: Boolean,
     val target: ListedUpstream,
     val targetHost: Address?,
     val engineSlots: Int,
@@ -118,6 +120,9 @@
 
     /** The home is not ready, or has ended. */
     NOT_HERE,
+
+    /** Another home may have the program as well. */
+    NOT_VERIFIED,
 }
 
 /**
@@ -145,6 +150,7 @@
  * Answers [FindProgram].
  *
  * @property home of the daemon; null while it is not ready.
+ * @property tokens of the program that are spent or reserved there.
  * @property isComplete whether it has all programs of the homes that it takes over.
  */
 @Serializable
@@ -153,6 +159,7 @@
     val home: HomeId?,
     val hasProgram: Boolean,
     val hasPrevious: Boolean,
+    val tokens: Long,
     val isComplete: Boolean,
 ) : Message
 
@@ -219,6 +226,13 @@
     val records: List<LogRecord>,
 ) : Message
 
+/** Home to retainer: does it serve, with the data folder [retainer]? Answered by [Done] or [Declined]. */
+@Serializable
+@SerialName("retainer?")
+data class AskRetainer(
+    val retainer: RetainerId,
+) : Message
+
 /** Successor to retainer: [home] has ended. Answered by [RecordsOf]; nothing more of [home] is accepted. */
 @Serializable
 @SerialName("end-home")
--- a/retainer/src/main/kotlin/sycamore/retainer/RetainerDaemon.kt
+++ b/retainer/src/main/kotlin/sycamore/retainer/RetainerDaemon.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.flow
 import kotlinx.coroutines.flow.flowOf
+import sycamore.links.AskRetainer
 import sycamore.links.Declined
 import sycamore.links.Done
 import sycamore.links.DropHome
@@ -46,6 +47,7 @@
     ): Flow<Message> =
         when (message) {
             is KeepRecords -> flow { emit(keep(message)) }
+            is AskRetainer -> flowOf(serving(message))
             is EndHome -> flow { emit(end(message)) }
             is DropHome ->
                 flow {
@@ -55,6 +57,13 @@
             else -> flowOf(Unsupported)
         }
 
+    private fun serving(message: AskRetainer): Message =
+        when {
+            message.retainer != folder.id -> Declined("the data folder here is ${folder.id}")
+            isLeaving -> Declined("the host is leaving")
+            else -> Done
+        }
+
     private suspend fun keep(message: KeepRecords): Message {
         if (message.retainer != folder.id) return Declined("the data folder here is ${folder.id}")
         if (isLeaving && message.records.isNotEmpty()) return Declined("the host is leaving")
--- a/turns/src/main/kotlin/sycamore/turns/ProgramTurns.kt
+++ b/turns/src/main/kotlin/sycamore/turns/ProgramTurns.kt
@@ -20,6 +20,9 @@
 
     /** A turn of this name was started before. */
     data object Repeated : TurnStart
+
+    /** The program has turns already, and another home may have it too: its budget could be spent there. */
+    data object Unverified : TurnStart
 }
 
 /**
@@ -27,6 +30,7 @@
  *
  * @property budget tokens that all turns of the program may generate; null sets no bound.
  * @property most tokens that this turn may generate.
+ * @property isVerified whether it is certain that no other home has the program.
  */
 data class TurnRequest(
     val program: ProgramName,
@@ -35,6 +39,7 @@
     val input: ByteArray,
     val budget: Long?,
     val most: Long,
+    val isVerified: Boolean = false,
 )
 
 /** The turns of one program and what they spent. Not thread-safe. */
@@ -57,6 +62,10 @@
     private var spent = 0L
     private var reserved = 0L
 
+    /** Whether it was certain once that no other home has the program. */
+    var isVerified = false
+        private set
+
     /** Tokens that were spent or may be spent by turns that have not ended. */
     val committedTokens: Long get() = spent + reserved
 
@@ -78,11 +87,20 @@
         val previous = request.previous
         return when {
             request.turn in turns -> TurnStart.Repeated
+            turns.isNotEmpty() && !isVerified && !request.isVerified -> TurnStart.Unverified
             previous != null && base == null && !isWhole(previous) -> TurnStart.NoSuchTurn
             left != null && request.most > left -> TurnStart.BudgetSpent(left.coerceAtLeast(0))
             else -> {
                 val record =
-                    TurnStarted(request.program, request.turn, previous, request.input, request.most, base)
+                    TurnStarted(
+                        program = request.program,
+                        turn = request.turn,
+                        previous = previous,
+                        input = request.input,
+                        reserved = request.most,
+                        base = base,
+                        isVerified = request.isVerified,
+                    )
                 apply(record)
                 TurnStart.Admitted(record)
             }
@@ -105,6 +123,7 @@
     }
 
     private fun begin(record: TurnStarted) {
+        isVerified = isVerified || record.isVerified
         if (record.turn in turns) return
         turns[record.turn] = Turn(record.previous, record.input, record.base, record.reserved)
         reserved += record.reserved
@@ -165,7 +184,7 @@
     /** Records from which all of this can be folded again. */
     fun records(name: ProgramName): List<TurnRecord> =
         turns.flatMap { (id, turn) ->
-            val start = TurnStarted(name, id, turn.previous, turn.input, turn.reserved, turn.base)
+            val start = TurnStarted(name, id, turn.previous, turn.input, turn.reserved, turn.base, isVerified)
             listOfNotNull(start, endOf(name, id, turn))
         }
 
--- a/turns/src/main/kotlin/sycamore/turns/StoreRecords.kt
+++ b/turns/src/main/kotlin/sycamore/turns/StoreRecords.kt
@@ -27,6 +27,7 @@
  *
  * @property address where its daemon is reached.
  * @property successor the home that took it over; null while it serves.
+ * @property isMerged whether the successor's own log has all of its programs.
  */
 @Serializable
 data class HomeEntry(
@@ -34,6 +35,7 @@
     val address: Address,
     val successor: HomeId? = null,
     val successorAddress: Address? = null,
+    val isMerged: Boolean = false,
 )
 
 /** Registrations of homes in the key-value service. */
--- a/turns/src/main/kotlin/sycamore/turns/TurnRecord.kt
+++ b/turns/src/main/kotlin/sycamore/turns/TurnRecord.kt
@@ -20,6 +20,7 @@
  * @property previous the turn that it continues; null at the start of a chain.
  * @property input what the caller sent.
  * @property reserved tokens of the budget that the turn may generate at most.
+ * @property isVerified whether it was certain that no other home has the program.
  * @property base prompt of [previous], if that turn lives at another home; null otherwise.
  */
 @Serializable
@@ -31,6 +32,7 @@
     @SerialName("i") val input: ByteArray,
     @SerialName("r") val reserved: Long,
     @SerialName("b") val base: ByteArray? = null,
+    @SerialName("c") val isVerified: Boolean = false,
 ) : TurnRecord
 
 /** A turn was answered whole: its caller may continue from it. [output] is what the next prompt repeats of it. */
