--- a/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
@@ -44,7 +44,7 @@
     private val homeList = HomeList(keys)
     private val homes = ProgramHomes(settings.place.name, board, homeList, exchange, time)
     private val plain = PlainCalls(upstreams, UpstreamLoads(settings.place.name, time), client)
-    private val turns = TurnCalls(settings.place.name, homes, board, ::engine, exchange)
+    private val turns = TurnCalls(settings.place.name, homes, board, ::engine, exchange, time)
 
     /** Whether callers may be sent here. */
     val isReady: Boolean get() = routes.table.value != null && upstreams.isRead
--- a/gateway/src/main/kotlin/sycamore/gateway/ProgramHomes.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/ProgramHomes.kt
@@ -159,7 +159,7 @@
         return Located.At(owner, null, isCertain = true)
     }
 
-    /** Has [lost] taken over by another host; null when none can do so now. */
+    /** Has [lost] taken over, by its own host if that is back, or by another one; null when none can do so now. */
     suspend fun takeOver(lost: HomeAt): HomeAt? {
         val present = list.present(lost)
         if (present != lost) return present
@@ -179,9 +179,10 @@
     private suspend fun order(lost: HomeAt): HomeAt? {
         val candidates =
             board.all
-                .filter { it.address != lost.address && it.status?.home != null && !it.status.isLeaving }
+                .filter { it.status?.isReady == true && it.status.home != lost.home }
                 .sortedWith(
                     compareBy(
+                        { it.address != lost.address },
                         { it.upstream.isLeaving },
                         { it.upstream.place != place },
                         { (lost.home.toString() + it.address).hashCode() },
--- a/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
@@ -24,6 +24,7 @@
 import sycamore.routing.ProgramName
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
 
 private val log = KotlinLogging.logger {}
 
@@ -34,6 +35,7 @@
     private val board: GateBoard,
     private val engines: (AcceptedCall) -> EngineProfile?,
     private val exchange: Exchange,
+    private val time: TimeSource,
 ) {
     /** Serves [call], a turn of [program] named [turn]. */
     suspend fun serve(
@@ -71,21 +73,21 @@
         private val excluded = HashSet<Address>()
         private var lastReason = "no engine takes turns"
         private var isUnverified = false
+        private val arrived = time.markNow()
 
         suspend fun run() {
-            while (call.timeLeft > LEAST_TIME) {
-                when (val located = locate()) {
+            while (held < HOLD && call.timeLeft > LEAST_TIME) {
+                when (val located = withTimeoutOrNull(HOLD - held) { locate() }) {
+                    null -> lastReason = "the program's home was not found in time"
                     Located.NoSuchTurn -> return noSuchTurn()
                     is Located.NotNow -> {
                         lastReason = located.reason
-                        if (call.timeLeft < PATIENCE) return notNow(located.reason)
                         delay(PAUSE)
                     }
                     is Located.At -> if (send(located.home, located.previousAt, located.isCertain)) return
                     is Located.Nowhere -> {
                         val home = newHome()
                         if (home == null) {
-                            if (call.timeLeft < PATIENCE) return notNow(lastReason)
                             delay(PAUSE)
                         } else if (send(home, located.previousAt, isVerified = false)) {
                             return
@@ -96,6 +98,9 @@
             notNow(lastReason)
         }
 
+        /** How long the turn has waited here. */
+        private val held: Duration get() = arrived.elapsedNow()
+
         private suspend fun locate(): Located {
             val home = homes.known(program)
             return when {
@@ -111,13 +116,12 @@
                 board.all
                     .filter { isUsable(it) && it.address !in excluded }
                     .minByOrNull { cost(it) }
-            return host?.let { HomeAt(it.status!!.home!!, it.address) }
+            return host?.let { HomeAt(it.status!!.home, it.address) }
         }
 
         private fun isUsable(host: EngineHost): Boolean {
             val status = host.status ?: return false
-            return status.home != null &&
-                !status.isLeaving &&
+            return status.isReady &&
                 !host.upstream.isLeaving &&
                 host.upstream.service == call.service
         }
@@ -155,7 +159,7 @@
                     log.event("home-unreachable", "request" to turn, "home" to home.home, "detail" to sent.reason)
                     board.lost(home.address)
                     if (homes.known(program) == home) {
-                        homes.takeOver(home) ?: delay(PAUSE)
+                        withTimeoutOrNull(HOLD - held) { homes.takeOver(home) } ?: delay(PAUSE)
                     } else {
                         excluded += home.address
                     }
@@ -363,8 +367,8 @@
         /** The home answers by itself this much before the caller's time is over. */
         val MARGIN = 60.milliseconds
 
-        /** A turn waits for its home while this much of its time is left; then its caller is told to come back. */
-        val PATIENCE = 1200.milliseconds
+        /** A lost home is taken over within this time; a turn that waits longer for its home is told to come back. */
+        val HOLD = 1200.milliseconds
         val PAUSE = 100.milliseconds
         val RETRY_AFTER = 400.milliseconds
 
--- a/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
@@ -133,16 +133,16 @@
     }
 
     private fun status(): GateStatus =
-        GateStatus(home.id.takeIf { home.isReady }, gate.running, gate.waiting, gate.expectedWait, isLeaving)
+        GateStatus(home.id, home.isReady && !isLeaving, gate.running, gate.waiting, gate.expectedWait)
 
     private fun find(message: FindProgram): ProgramFound {
         val home = home
         return ProgramFound(
-            home = home.id.takeIf { home.isReady },
+            home = home.id,
             hasProgram = home.table.has(message.program),
             tokens = home.table.committedTokens(message.program),
             hasPrevious = message.previous?.let { home.table.programWithWhole(it) } != null,
-            isComplete = !hasFormer && !takeovers.isBusy,
+            isComplete = home.isReady && !hasFormer && !takeovers.isBusy,
         )
     }
 
--- a/homes/src/main/kotlin/sycamore/homes/HomeJournal.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeJournal.kt
@@ -87,9 +87,11 @@
         }
 
     /** Appends [record] and returns its number. */
-    fun append(record: TurnRecord): Long {
+    fun append(record: TurnRecord): Long = append(TurnRecords.encode(record))
+
+    /** Appends a record that is encoded already, and returns its number. */
+    fun append(bytes: ByteArray): Long {
         requireAlive()
-        val bytes = TurnRecords.encode(record)
         return lock.withLock {
             val number = appended.value + 1
             pending.addLast(Pending(LogRecord(number, bytes), time.markNow()))
--- a/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
@@ -36,7 +36,6 @@
 import sycamore.turns.LogRecord
 import sycamore.turns.Retainer
 import sycamore.turns.RetainerId
-import sycamore.turns.TurnRecords
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
@@ -190,7 +189,7 @@
         val logs = seen.map { seals.seal(it, home.id) ?: return cannot("the log cannot be read", it) }
         val retained = logs.map { collect(it) ?: return cannot("the retainers cannot be asked", it.home) }
         logs.zip(retained).forEach { (log, kept) ->
-            home.adopt((log.records + kept).distinctBy { it.number }.map { TurnRecords.decode(it.bytes) })
+            home.adopt((log.records + kept).distinctBy { it.number })
         }
         scope.launch { logs.forEach { free(it, home) } }
         return true
--- a/homes/src/main/kotlin/sycamore/homes/RecordRetention.kt
+++ b/homes/src/main/kotlin/sycamore/homes/RecordRetention.kt
@@ -82,7 +82,7 @@
         kept: List<Kept>,
         committed: Long,
     ): Long {
-        var number = committed
+        var number = maxOf(committed, safe.value)
         while (true) {
             val holders = kept.filter { it.from <= number && it.kept > number }.map { it.kept }.sortedDescending()
             number = holders.getOrNull(COPIES - 1) ?: return number
--- a/homes/src/main/kotlin/sycamore/homes/TurnHome.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnHome.kt
@@ -15,9 +15,10 @@
 import sycamore.services.Write
 import sycamore.turns.HomeEntry
 import sycamore.turns.HomeKeys
+import sycamore.turns.LogRecord
 import sycamore.turns.TurnBroken
 import sycamore.turns.TurnFinished
-import sycamore.turns.TurnRecord
+import sycamore.turns.TurnRecords
 import sycamore.turns.TurnStarted
 import sycamore.turns.TurnTable
 import kotlin.time.Duration
@@ -26,7 +27,7 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
-private val log = KotlinLogging.logger {}
+private val logger = KotlinLogging.logger {}
 
 /** One home: the programs that live on this host, their log, and the retention of its records. */
 internal class TurnHome(
@@ -55,7 +56,7 @@
             val work = listOf(launch { journal.run() }, launch { retention.run() }, launch { dropIdle() })
             journal.opened.await()
             isReady = true
-            log.info { "home $id serves at $address" }
+            logger.info { "home $id serves at $address" }
             journal.ended.await()
             isReady = false
             work.forEach { it.cancel() }
@@ -73,20 +74,20 @@
         }
     }
 
-    /** Takes in the [records] of a home that has ended. Its turns under way count as broken after all their tokens. */
-    fun adopt(records: List<TurnRecord>) {
+    /** Takes in the [log] of a home that has ended. Its turns under way count as broken after all their tokens. */
+    fun adopt(log: List<LogRecord>) {
+        val records = log.map { TurnRecords.decode(it.bytes) }
         val ended = records.filterNot { it is TurnStarted }.mapTo(HashSet()) { it.turn }
         val broken =
             records
                 .filterIsInstance<TurnStarted>()
                 .filter { it.turn !in ended }
                 .map { TurnBroken(it.program, it.turn, it.reserved) }
-        (records + broken).forEach { record ->
-            table.apply(record)
-            journal.append(record)
-        }
+        (records + broken).forEach(table::apply)
+        log.forEach { journal.append(it.bytes) }
+        broken.forEach(journal::append)
         val whole = records.count { it is TurnFinished }
-        log.event(
+        logger.event(
             "programs-adopted",
             "home" to id,
             "records" to records.size,
@@ -99,7 +100,7 @@
         while (true) {
             delay(DROP_PERIOD)
             val dropped = table.dropIdle(KEEP)
-            if (dropped.isNotEmpty()) log.info { "home $id dropped ${dropped.size} idle programs" }
+            if (dropped.isNotEmpty()) logger.info { "home $id dropped ${dropped.size} idle programs" }
         }
     }
 
--- a/links/src/main/kotlin/sycamore/links/TurnMessage.kt
+++ b/links/src/main/kotlin/sycamore/links/TurnMessage.kt
@@ -149,14 +149,14 @@
 /**
  * Answers [FindProgram].
  *
- * @property home of the daemon; null while it is not ready.
+ * @property home of the daemon.
  * @property tokens of the program that are spent or reserved there.
  * @property isComplete whether it has all programs of the homes that it takes over.
  */
 @Serializable
 @SerialName("found")
 data class ProgramFound(
-    val home: HomeId?,
+    val home: HomeId,
     val hasProgram: Boolean,
     val hasPrevious: Boolean,
     val tokens: Long,
@@ -185,7 +185,8 @@
 /**
  * Answers [AskGate].
  *
- * @property home of the daemon; null while it is not ready.
+ * @property home of the daemon.
+ * @property isReady whether it takes turns.
  * @property running calls at the engine.
  * @property waiting calls in the queue.
  * @property wait time until a new call would begin.
@@ -193,11 +194,11 @@
 @Serializable
 @SerialName("load")
 data class GateStatus(
-    val home: HomeId?,
+    val home: HomeId,
+    val isReady: Boolean,
     val running: Int,
     val waiting: Int,
     val wait: Duration,
-    val isLeaving: Boolean,
 ) : Message
 
 /** Entry to host: take over the programs of [lost], unless it lives. Answered by [HomeTaken] or [Declined]. */
