--- a/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
@@ -17,11 +17,11 @@
 import sycamore.links.TurnRefusal
 import sycamore.links.TurnRefused
 import sycamore.links.TurnWhole
-import sycamore.model.Address
 import sycamore.model.PlaceName
 import sycamore.routing.AttemptId
 import sycamore.routing.EngineProfile
 import sycamore.routing.ProgramName
+import sycamore.routing.UpstreamId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
@@ -70,7 +70,7 @@
         private val program: ProgramName,
         private val turn: AttemptId,
     ) {
-        private val excluded = HashSet<Address>()
+        private val excluded = HashSet<UpstreamId>()
         private var lastReason = "no engine takes turns"
         private var isUnverified = false
         private val arrived = time.markNow()
@@ -114,7 +114,7 @@
         private fun newHome(): HomeAt? {
             val host =
                 board.all
-                    .filter { isUsable(it) && it.address !in excluded }
+                    .filter { isUsable(it) && it.upstream.id !in excluded }
                     .minByOrNull { cost(it) }
             return host?.let { HomeAt(it.status!!.home, it.address) }
         }
@@ -161,7 +161,7 @@
                     if (homes.known(program) == home) {
                         withTimeoutOrNull(HOLD - held) { homes.takeOver(home) } ?: delay(PAUSE)
                     } else {
-                        excluded += home.address
+                        excluded += target.upstream.id
                     }
                     false
                 }
@@ -174,11 +174,11 @@
             if (own != null &&
                 !own.upstream.isLeaving &&
                 own.upstream.service == call.service &&
-                own.address !in excluded
+                own.upstream.id !in excluded
             ) {
                 return own
             }
-            return board.all.filter { isUsable(it) && it.address !in excluded }.minByOrNull { cost(it) }
+            return board.all.filter { isUsable(it) && it.upstream.id !in excluded }.minByOrNull { cost(it) }
         }
 
         private suspend fun sendTo(
@@ -288,7 +288,7 @@
                     answer(OwnAnswer.NOT_RUN, reply.detail, reply.retryAfter ?: RETRY_AFTER)
                 }
                 TurnRefusal.TARGET_GONE -> {
-                    excluded += target.address
+                    excluded += target.upstream.id
                     return Sent.Elsewhere(reply.detail)
                 }
                 TurnRefusal.NOT_VERIFIED -> {
--- a/gateway/src/main/kotlin/sycamore/gateway/UpstreamDirectory.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/UpstreamDirectory.kt
@@ -7,7 +7,6 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import sycamore.model.Address
 import sycamore.model.ServiceName
 import sycamore.platform.StoreKeys
 import sycamore.platform.UpstreamEntries
@@ -39,17 +38,16 @@
     var isRead = false
         private set
 
-    /** All upstreams. */
-    val all: Collection<ListedUpstream> get() = listed.values
+    /** All upstreams, one for each address: of two that name the same one, the older is gone. */
+    val all: Collection<ListedUpstream>
+        get() =
+            listed.values
+                .groupBy { it.address }
+                .values
+                .map { same -> same.maxBy { it.bornMillis ?: 0 } }
 
     /** Upstreams of [service] that take calls. */
-    fun of(service: ServiceName): List<ListedUpstream> = listed.values.filter { it.service == service && !it.isLeaving }
-
-    /** The upstream at [address], leaving ones too. */
-    fun at(address: Address): ListedUpstream? = listed.values.firstOrNull { it.address == address }
-
-    /** Whether [id] still takes calls. */
-    fun isOpen(id: UpstreamId): Boolean = listed[id]?.isLeaving == false
+    fun of(service: ServiceName): List<ListedUpstream> = all.filter { it.service == service && !it.isLeaving }
 
     /** Follows the registrations until cancelled. */
     suspend fun run(scope: CoroutineScope) {
--- a/homes/src/main/kotlin/sycamore/homes/RecordRetention.kt
+++ b/homes/src/main/kotlin/sycamore/homes/RecordRetention.kt
@@ -110,7 +110,9 @@
                 is Done -> {
                     directory.answered(retainer.id)
                     told = committed
-                    change(retainer.id) { it.copy(kept = records.lastOrNull()?.number ?: it.kept, isLate = false) }
+                    // What was committed meanwhile needs no keeping.
+                    val last = maxOf(records.lastOrNull()?.number ?: 0, committed)
+                    change(retainer.id) { it.copy(kept = maxOf(it.kept, last), isLate = false) }
                 }
                 is Declined -> {
                     log.warn { "retainer ${retainer.host} refused records of ${journal.home}: ${reply.reason}" }
