Send retainers small batches, and nothing that lasts elsewhere

Cause: after a takeover a home sent all adopted records to its retainers in one message of 1.5 MB, gave it up after a second and sent it again, so that links and processor were full for good. Ruled out: processor time (the same without it), threads (bounded parallelism changed nothing), messages of entries (200 a second).

--- a/homes/src/main/kotlin/sycamore/homes/HomeJournal.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeJournal.kt
@@ -32,6 +32,12 @@
 
 private val log = KotlinLogging.logger {}
 
+/** [records] that a retainer shall keep, so that it keeps all up to the number [upTo]. */
+internal class KeepBatch(
+    val records: List<LogRecord>,
+    val upTo: Long,
+)
+
 /** A home was taken over by [successor]. */
 internal class HomeEndedException(
     val successor: HomeId,
@@ -49,9 +55,11 @@
     private val time: TimeSource.WithComparableMarks,
     private val wanted: (named: List<Retainer>) -> List<Retainer>,
 ) {
+    /** @property isElsewhere whether the record lasts already, in the log of a home that was taken over. */
     private class Pending(
         val record: LogRecord,
         val since: ComparableTimeMark,
+        val isElsewhere: Boolean,
     )
 
     private val lock = ReentrantLock()
@@ -87,29 +95,43 @@
         }
 
     /** Appends [record] and returns its number. */
-    fun append(record: TurnRecord): Long = append(TurnRecords.encode(record))
+    fun append(record: TurnRecord): Long = append(TurnRecords.encode(record), isElsewhere = false)
+
+    /** Appends a record of a home that was taken over, whose log stays until this one has the record too. */
+    fun adopt(bytes: ByteArray) {
+        append(bytes, isElsewhere = true)
+    }
 
-    /** Appends a record that is encoded already, and returns its number. */
-    fun append(bytes: ByteArray): Long {
+    private fun append(
+        bytes: ByteArray,
+        isElsewhere: Boolean,
+    ): Long {
         requireAlive()
         return lock.withLock {
             val number = appended.value + 1
-            pending.addLast(Pending(LogRecord(number, bytes), time.markNow()))
-            pendingBytes += bytes.size
+            pending.addLast(Pending(LogRecord(number, bytes), time.markNow(), isElsewhere))
+            if (!isElsewhere) pendingBytes += bytes.size
             appended.value = number
             if (pendingBytes >= SEGMENT_BYTES || pending.size == 1) wake.trySend(Unit)
             number
         }
     }
 
-    /** Records above [number] that are not committed. */
-    fun pendingAbove(number: Long): List<LogRecord> =
+    /** The next records above [number] that retainers have to keep. */
+    fun batchAbove(number: Long): KeepBatch =
         lock.withLock {
-            pending
-                .asSequence()
-                .map { it.record }
-                .filter { it.number > number }
-                .toList()
+            var bytes = 0
+            var upTo = maxOf(number, lastCommitted.value)
+            val records = ArrayList<LogRecord>()
+            for (next in pending) {
+                if (next.record.number <= upTo) continue
+                if (bytes >= BATCH_BYTES) break
+                upTo = next.record.number
+                if (next.isElsewhere) continue
+                records += next.record
+                bytes += next.record.bytes.size
+            }
+            KeepBatch(records, upTo)
         }
 
     /** Fails with [HomeEndedException] when this home was taken over. */
@@ -203,10 +225,8 @@
         lock.withLock {
             former = segment.formerRetainers
             repeat(segment.records.size) {
-                pendingBytes -=
-                    pending
-                        .removeFirst()
-                        .record.bytes.size
+                val done = pending.removeFirst()
+                if (!done.isElsewhere) pendingBytes -= done.record.bytes.size
             }
         }
         if (segment.retainers != named.value) {
@@ -255,6 +275,9 @@
     }
 
     private companion object {
+        /** Most that is sent to a retainer in one message, so that each is answered soon also over a slow link. */
+        const val BATCH_BYTES = 48 * 1024
+
         /** A segment is written when this much waits, before compression. */
         const val SEGMENT_BYTES = 256L * 1024
 
--- a/homes/src/main/kotlin/sycamore/homes/RecordRetention.kt
+++ b/homes/src/main/kotlin/sycamore/homes/RecordRetention.kt
@@ -103,16 +103,14 @@
         var told = 0L
         while (!journal.ended.isCompleted) {
             val state = awaitWork(retainer.id, told) ?: return
-            val records = if (state.isUsed) journal.pendingAbove(state.kept) else emptyList()
             val committed = journal.committed.value
-            val reply = ask(retainer, KeepRecords(retainer.id, journal.home, committed, records))
+            val batch = if (state.isUsed) journal.batchAbove(state.kept) else KeepBatch(emptyList(), state.kept)
+            val reply = ask(retainer, KeepRecords(retainer.id, journal.home, committed, batch.records))
             when (reply) {
                 is Done -> {
                     directory.answered(retainer.id)
                     told = committed
-                    // What was committed meanwhile needs no keeping.
-                    val last = maxOf(records.lastOrNull()?.number ?: 0, committed)
-                    change(retainer.id) { it.copy(kept = maxOf(it.kept, last), isLate = false) }
+                    change(retainer.id) { it.copy(kept = maxOf(it.kept, batch.upTo), isLate = false) }
                 }
                 is Declined -> {
                     log.warn { "retainer ${retainer.host} refused records of ${journal.home}: ${reply.reason}" }
--- a/homes/src/main/kotlin/sycamore/homes/TurnHome.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnHome.kt
@@ -84,7 +84,7 @@
                 .filter { it.turn !in ended }
                 .map { TurnBroken(it.program, it.turn, it.reserved) }
         (records + broken).forEach(table::apply)
-        log.forEach { journal.append(it.bytes) }
+        log.forEach { journal.adopt(it.bytes) }
         broken.forEach(journal::append)
         val whole = records.count { it is TurnFinished }
         logger.event(
--- a/links/src/main/kotlin/sycamore/links/LinkClient.kt
+++ b/links/src/main/kotlin/sycamore/links/LinkClient.kt
@@ -38,12 +38,12 @@
         self: HostName,
         keys: LinkKeys = LinkKeys.NONE,
         bounds: LinkBounds = LinkBounds(),
-    ) : this(Handshake(self, keys), bounds, TimeSource.Monotonic, Dispatchers.IO, dial = null)
+    ) : this(Handshake(self, keys), bounds, TimeSource.Monotonic, Dispatchers.Default, dial = null)
 
     /** Bytes of all links. */
     val traffic = LinkTraffic()
 
-    private val selector = if (dial == null) SelectorManager(Dispatchers.IO) else null
+    private val selector = if (dial == null) SelectorManager(LinkThreads.selector()) else null
     private val open: Dial = dial ?: dialTcp(selector!!, traffic)
     private val scope = CoroutineScope(context + SupervisorJob(context[Job]))
     private val links = ConcurrentHashMap<Address, AskingLink>()
--- a/links/src/main/kotlin/sycamore/links/LinkServer.kt
+++ b/links/src/main/kotlin/sycamore/links/LinkServer.kt
@@ -34,7 +34,7 @@
     private val acceptor: LinkAcceptor,
     private val maxConnections: Int,
 ) : AutoCloseable {
-    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val sockets = ConcurrentHashMap.newKeySet<Socket>()
 
     /** Bytes of all links. */
@@ -89,7 +89,7 @@
             bounds: LinkBounds = LinkBounds(),
             serve: Serve,
         ): LinkServer {
-            val selector = SelectorManager(Dispatchers.IO)
+            val selector = SelectorManager(LinkThreads.selector())
             val socket =
                 aSocket(selector).tcp().bind(address.ip, address.port) {
                     reuseAddress = true
--- a/retainer/src/main/kotlin/sycamore/retainer/Main.kt
+++ b/retainer/src/main/kotlin/sycamore/retainer/Main.kt
@@ -1,9 +1,9 @@
 package sycamore.retainer
 
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.launch
 import sycamore.daemon.Program
+import sycamore.daemon.Threads
 import sycamore.forwarding.PlatformDaemon
 import java.nio.file.Path
 
@@ -16,7 +16,7 @@
         val folder = RecordFolder(Path.of(path))
         val runtime = PlatformDaemon(settings)
         val daemon = RetainerDaemon(settings, folder, runtime.keys)
-        launch(Dispatchers.IO) { folder.run() }
+        launch(Threads.blocking) { folder.run() }
         runtime.serveLinks(daemon::serve)
         launch { daemon.register() }
         launch { daemon.followRetirements() }
