--- a/forwarding/src/main/kotlin/sycamore/forwarding/UpstreamClient.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/UpstreamClient.kt
@@ -1,6 +1,5 @@
 package sycamore.forwarding
 
-import jdk.net.ExtendedSocketOptions
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.flow
@@ -10,15 +9,11 @@
 import org.eclipse.jetty.client.Result
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP
 import org.eclipse.jetty.http.HttpCookieStore
-import org.eclipse.jetty.io.ClientConnector
 import org.eclipse.jetty.io.Content
 import org.eclipse.jetty.util.thread.QueuedThreadPool
 import sycamore.model.Address
 import sycamore.platform.Header
 import java.io.IOException
-import java.net.StandardSocketOptions
-import java.nio.channels.NetworkChannel
-import java.nio.channels.SelectableChannel
 import java.util.concurrent.CancellationException
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Duration
@@ -69,7 +64,7 @@
     idleTimeout: Duration = IDLE_TIMEOUT,
 ) : AutoCloseable {
     private val client =
-        HttpClient(HttpClientTransportOverHTTP(KeepAliveConnector())).apply {
+        HttpClient(HttpClientTransportOverHTTP(ProbingConnector())).apply {
             isFollowRedirects = false
             httpCookieStore = HttpCookieStore.Empty()
             maxConnectionsPerDestination = MAX_CONNECTIONS
@@ -147,18 +142,6 @@
         }
     }
 
-    /** Has the system probe connections, since those that went silent give no other sign. */
-    private class KeepAliveConnector : ClientConnector() {
-        override fun configure(channel: SelectableChannel) {
-            super.configure(channel)
-            val socket = channel as? NetworkChannel ?: return
-            socket.setOption(StandardSocketOptions.SO_KEEPALIVE, true)
-            socket.setOption(ExtendedSocketOptions.TCP_KEEPIDLE, PROBE_SECONDS)
-            socket.setOption(ExtendedSocketOptions.TCP_KEEPINTERVAL, PROBE_SECONDS)
-            socket.setOption(ExtendedSocketOptions.TCP_KEEPCOUNT, PROBES)
-        }
-    }
-
     private companion object {
         /** The farthest upstream is 24 ms away there and back; a lost first packet is sent again after a second. */
         val CONNECT_TIMEOUT = 1200.milliseconds
@@ -171,9 +154,5 @@
 
         const val MAX_THREADS = 8
         const val MIN_THREADS = 2
-
-        /** A silent connection is given up after this long without traffic, and as often again for each probe. */
-        const val PROBE_SECONDS = 1
-        const val PROBES = 2
     }
 }
--- a/gateway/src/main/kotlin/sycamore/gateway/HomeList.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/HomeList.kt
@@ -6,6 +6,7 @@
 import kotlinx.serialization.SerializationException
 import sycamore.links.HomeAt
 import sycamore.model.HomeId
+import sycamore.services.Backoff
 import sycamore.services.Item
 import sycamore.services.KeyValue
 import sycamore.services.Read
@@ -66,7 +67,7 @@
 
     /** Follows the registrations until cancelled. */
     suspend fun run() {
-        keys.watch(HomeKeys.PREFIX).collect { watched ->
+        keys.watch(HomeKeys.PREFIX, backoff = Backoff.prompt()).collect { watched ->
             when (watched) {
                 is Watched.Snapshot -> {
                     replace(watched.items)
--- a/gateway/src/main/kotlin/sycamore/gateway/RoutesInForce.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/RoutesInForce.kt
@@ -7,6 +7,7 @@
 import sycamore.platform.Configurations
 import sycamore.platform.StoreKeys
 import sycamore.routing.RouteTable
+import sycamore.services.Backoff
 import sycamore.services.Item
 import sycamore.services.KeyValue
 import sycamore.services.Watched
@@ -25,7 +26,7 @@
 
     /** Follows the configuration until cancelled. */
     suspend fun run() {
-        keys.watch(StoreKeys.CONFIGURATION).collect { watched ->
+        keys.watch(StoreKeys.CONFIGURATION, backoff = Backoff.prompt()).collect { watched ->
             when (watched) {
                 is Watched.Snapshot -> watched.items.forEach(::learn)
                 is Watched.Changes -> watched.items.forEach(::learn)
--- a/gateway/src/main/kotlin/sycamore/gateway/UpstreamDirectory.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/UpstreamDirectory.kt
@@ -12,6 +12,7 @@
 import sycamore.platform.UpstreamEntries
 import sycamore.routing.ListedUpstream
 import sycamore.routing.UpstreamId
+import sycamore.services.Backoff
 import sycamore.services.Item
 import sycamore.services.KeyValue
 import sycamore.services.Watched
@@ -51,7 +52,7 @@
 
     /** Follows the registrations until cancelled. */
     suspend fun run(scope: CoroutineScope) {
-        keys.watch(StoreKeys.UPSTREAMS).collect { watched ->
+        keys.watch(StoreKeys.UPSTREAMS, backoff = Backoff.prompt()).collect { watched ->
             when (watched) {
                 is Watched.Snapshot -> replace(scope, watched.items.mapNotNull(UpstreamEntries::decode))
                 is Watched.Changes -> watched.items.forEach(::change)
--- a/homes/src/main/kotlin/sycamore/homes/RetainerDirectory.kt
+++ b/homes/src/main/kotlin/sycamore/homes/RetainerDirectory.kt
@@ -14,6 +14,7 @@
 import sycamore.links.Exchange
 import sycamore.links.LinkException
 import sycamore.model.PlaceName
+import sycamore.services.Backoff
 import sycamore.services.Item
 import sycamore.services.KeyValue
 import sycamore.services.Watched
@@ -91,7 +92,7 @@
     suspend fun run() {
         coroutineScope {
             launch { probe() }
-            keys.watch(RetainerKeys.PREFIX).collect { watched ->
+            keys.watch(RetainerKeys.PREFIX, backoff = Backoff.prompt()).collect { watched ->
                 when (watched) {
                     is Watched.Snapshot -> {
                         registered.keys.retainAll(watched.items.map { it.key }.toSet())
--- a/retainer/src/main/kotlin/sycamore/retainer/RetainerDaemon.kt
+++ b/retainer/src/main/kotlin/sycamore/retainer/RetainerDaemon.kt
@@ -17,6 +17,7 @@
 import sycamore.model.HostName
 import sycamore.platform.HostSettings
 import sycamore.platform.Retirements
+import sycamore.services.Backoff
 import sycamore.services.KeyValue
 import sycamore.services.Read
 import sycamore.services.Revision
@@ -103,7 +104,7 @@
 
     /** Follows orders to empty this host's disk, until cancelled. */
     suspend fun followRetirements() {
-        keys.watch(Retirements.key(settings.name)).collect { watched ->
+        keys.watch(Retirements.key(settings.name), backoff = Backoff.prompt()).collect { watched ->
             val items =
                 when (watched) {
                     is Watched.Snapshot -> watched.items
--- a/services/src/main/kotlin/sycamore/services/Backoff.kt
+++ b/services/src/main/kotlin/sycamore/services/Backoff.kt
@@ -32,7 +32,13 @@
         bound = first
     }
 
-    private companion object {
-        const val LEAST_SHARE = 0.5
+    companion object {
+        private val FIRST = 200.milliseconds
+        private val MOST = 1.seconds
+
+        /** For followers that have to notice the service's return within a second or two. */
+        fun prompt(): Backoff = Backoff(FIRST, MOST)
+
+        private const val LEAST_SHARE = 0.5
     }
 }
