Tell all homes of programs that spent their budget, and verify only those

A program comes back only after its budget was spent; homes learn the names of those, and a program that is unknown and not among them needs no proof.

--- a/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
+import sycamore.daemon.Background
 import sycamore.daemon.log.event
 import sycamore.forwarding.BodyTooLargeException
 import sycamore.forwarding.CallerExchange
@@ -41,8 +42,9 @@
     private val upstreams = UpstreamDirectory(keys, time)
 
     private val board = GateBoard(upstreams, routes, exchange, settings.firstPort, time)
+    private val background = Background()
     private val homeList = HomeList(keys)
-    private val homes = ProgramHomes(settings.place.name, board, homeList, exchange, time)
+    private val homes = ProgramHomes(settings.place.name, board, homeList, exchange, background, time)
     private val plain = PlainCalls(upstreams, UpstreamLoads(settings.place.name, time), client)
     private val turns = TurnCalls(settings.place.name, homes, board, ::engine, exchange, time)
 
@@ -56,6 +58,7 @@
             launch { upstreams.run(this) }
             launch { homeList.run() }
             launch { board.run() }
+            launch { background.run() }
             while (true) {
                 delay(SWEEP)
                 homes.dropIdle()
--- a/gateway/src/main/kotlin/sycamore/gateway/ProgramHomes.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/ProgramHomes.kt
@@ -7,7 +7,9 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.flow.firstOrNull
 import kotlinx.coroutines.withTimeoutOrNull
+import sycamore.daemon.Background
 import sycamore.daemon.log.event
+import sycamore.links.BudgetSpentElsewhere
 import sycamore.links.Exchange
 import sycamore.links.FindProgram
 import sycamore.links.HomeAt
@@ -45,9 +47,15 @@
         val isCertain: Boolean,
     ) : Located
 
-    /** No home has it. The turn that it continues lives at [previousAt]; null if it continues none. */
+    /**
+     * No home has it, as far as is known.
+     *
+     * @property previousAt the home of the turn that it continues; null if it continues none.
+     * @property isCertain whether all homes said so.
+     */
     data class Nowhere(
         val previousAt: HomeAt?,
+        val isCertain: Boolean,
     ) : Located
 
     /** The turn that it continues does not exist. */
@@ -65,6 +73,7 @@
     private val board: GateBoard,
     private val list: HomeList,
     private val exchange: Exchange,
+    private val background: Background,
     private val time: TimeSource.WithComparableMarks,
 ) {
     private class Known(
@@ -79,6 +88,7 @@
     )
 
     private val known = ConcurrentHashMap<ProgramName, Known>()
+    private val spent = ConcurrentHashMap.newKeySet<ProgramName>()
     private val takeovers = ConcurrentHashMap<HomeId, CompletableDeferred<HomeAt?>>()
 
     /** The home of [program], if this process knows it. */
@@ -97,9 +107,23 @@
         known.remove(program)
     }
 
+    /** [program] has spent its budget at [home]. All other homes learn it, since it may come back when [home] is lost. */
+    fun spent(
+        program: ProgramName,
+        home: HomeAt,
+    ) {
+        if (!spent.add(program)) return
+        list.serving.filter { it.home != home.home }.forEach { other ->
+            background.launch("telling ${other.home} of a spent budget") {
+                ask(other.address, BudgetSpentElsewhere(program), SPENT_LIMIT)
+            }
+        }
+    }
+
     /** Drops programs that no call came of for long. */
     fun dropIdle() {
         known.values.removeIf { it.at.elapsedNow() > KEEP }
+        if (spent.size > MAX_SPENT) spent.clear()
     }
 
     /** Asks all homes for [program] and for the turn [previous] that it continues. */
@@ -115,7 +139,7 @@
         val isCertain = list.isRead && isComplete(serving, heard)
         return when {
             previous == null || previousAt != null ->
-                if (owner == null) Located.Nowhere(previousAt) else Located.At(owner, previousAt, isCertain)
+                if (owner == null) Located.Nowhere(previousAt, isCertain) else Located.At(owner, previousAt, isCertain)
             isCertain -> settleMissing(heard)
             else -> recover(serving, heard)
         }
@@ -154,7 +178,7 @@
         val heard = askAll(serving, FindProgram(program, null))
         val owner = heard.filter { it.found.hasProgram }.maxByOrNull { it.found.tokens }?.home
         if (!list.isRead || !isComplete(serving, heard)) return recover(serving, heard)
-        if (owner == null) return Located.Nowhere(null)
+        if (owner == null) return Located.Nowhere(null, isCertain = true)
         learn(program, owner)
         return Located.At(owner, null, isCertain = true)
     }
@@ -225,9 +249,15 @@
     private companion object {
         const val MAX_CANDIDATES = 3
 
+        /** Names that are remembered as told; one that is told again does no harm. */
+        const val MAX_SPENT = 10_000
+
         /** The way to the farthest region and back, several times. */
         val FIND_LIMIT = 400.milliseconds
 
+        /** The record is kept on two disks before it is answered. */
+        val SPENT_LIMIT = 3.seconds
+
         /** A takeover asks the lost home, the store and the retainers. */
         val TAKE_LIMIT = 2.seconds
 
--- a/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
@@ -89,7 +89,7 @@
                         val home = newHome()
                         if (home == null) {
                             delay(PAUSE)
-                        } else if (send(home, located.previousAt, isVerified = false)) {
+                        } else if (send(home, located.previousAt, located.isCertain)) {
                             return
                         }
                     }
@@ -106,7 +106,7 @@
             return when {
                 isUnverified -> homes.verify(program).also { isUnverified = it is Located.NotNow }
                 home != null -> Located.At(home, null, isCertain = false)
-                call.head.previous == null -> Located.Nowhere(null)
+                call.head.previous == null -> Located.Nowhere(null, isCertain = false)
                 else -> homes.locate(program, call.head.previous)
             }
         }
@@ -281,6 +281,7 @@
         ): Sent {
             when (reply.reason) {
                 TurnRefusal.BUDGET_SPENT -> {
+                    homes.spent(program, home)
                     answer(OwnAnswer.BUDGET_SPENT, reply.detail)
                 }
                 TurnRefusal.NO_SUCH_TURN -> return missing(reply, home)
--- a/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
@@ -17,6 +17,8 @@
 import sycamore.forwarding.UpstreamClient
 import sycamore.links.AskGate
 import sycamore.links.AskPrompt
+import sycamore.links.BudgetSpentElsewhere
+import sycamore.links.Done
 import sycamore.links.Exchange
 import sycamore.links.FindProgram
 import sycamore.links.GateStatus
@@ -84,6 +86,7 @@
             is RunPrompt -> gates.atOwn(message.call, message.prompt)
             is AskGate -> flowOf(status())
             is FindProgram -> flowOf(find(message))
+            is BudgetSpentElsewhere -> flow { emit(markSpent(message)) }
             is AskPrompt -> flowOf(Prompt(home.table.promptAfter(message.turn)))
             is TakeHome -> flow { emit(takeovers.take(message)) }
             else -> flowOf(Unsupported)
@@ -146,6 +149,11 @@
         )
     }
 
+    private suspend fun markSpent(message: BudgetSpentElsewhere): Message {
+        home.markSpent(message.program)
+        return Done
+    }
+
     private suspend fun handOver() {
         val current = home
         if (!current.isReady || current.table.size == 0) return
--- a/homes/src/main/kotlin/sycamore/homes/TurnHome.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnHome.kt
@@ -9,6 +9,7 @@
 import sycamore.model.Address
 import sycamore.model.HomeId
 import sycamore.model.PlaceName
+import sycamore.routing.ProgramName
 import sycamore.services.KeyValue
 import sycamore.services.Read
 import sycamore.services.Revision
@@ -16,7 +17,9 @@
 import sycamore.turns.HomeEntry
 import sycamore.turns.HomeKeys
 import sycamore.turns.LogRecord
+import sycamore.turns.ProgramSpent
 import sycamore.turns.TurnBroken
+import sycamore.turns.TurnEnd
 import sycamore.turns.TurnFinished
 import sycamore.turns.TurnRecords
 import sycamore.turns.TurnStarted
@@ -77,7 +80,7 @@
     /** Takes in the [log] of a home that has ended. Its turns under way count as broken after all their tokens. */
     fun adopt(log: List<LogRecord>) {
         val records = log.map { TurnRecords.decode(it.bytes) }
-        val ended = records.filterNot { it is TurnStarted }.mapTo(HashSet()) { it.turn }
+        val ended = records.filterIsInstance<TurnEnd>().mapTo(HashSet()) { it.turn }
         val broken =
             records
                 .filterIsInstance<TurnStarted>()
@@ -96,6 +99,13 @@
         )
     }
 
+    /** [program] has spent its budget at another home. */
+    suspend fun markSpent(program: ProgramName) {
+        if (!table.markSpent(program)) return
+        val number = journal.append(ProgramSpent(program))
+        retention.awaitSafe(number, SAFE_LIMIT)
+    }
+
     private suspend fun dropIdle() {
         while (true) {
             delay(DROP_PERIOD)
@@ -107,6 +117,7 @@
     private companion object {
         val RETRY = 200.milliseconds
         val DROP_PERIOD = 10.seconds
+        val SAFE_LIMIT = 2.seconds
 
         /** Longer than any route keeps a turn, since a program may come back after a final fault. */
         val KEEP: Duration = 5.minutes
--- a/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
@@ -68,7 +68,10 @@
                         "the budget holds ${start.left} more tokens",
                     )
                 TurnStart.NoSuchTurn -> refuse(call, TurnRefusal.NO_SUCH_TURN, "no turn ${call.previous} is kept")
-                TurnStart.Unverified -> emit(TurnRefused(TurnRefusal.NOT_VERIFIED, "another home may have the program"))
+                TurnStart.Unverified ->
+                    emit(
+                        TurnRefused(TurnRefusal.NOT_VERIFIED, "the program has spent its budget at another home"),
+                    )
                 TurnStart.Repeated -> emit(TurnBroke("a turn ${call.turn} was started before"))
             }
         }
--- a/links/src/main/kotlin/sycamore/links/TurnMessage.kt
+++ b/links/src/main/kotlin/sycamore/links/TurnMessage.kt
@@ -121,7 +121,7 @@
     /** The home is not ready, or has ended. */
     NOT_HERE,
 
-    /** Another home may have the program as well. */
+    /** The program has spent its budget at another home, which has to be found first. */
     NOT_VERIFIED,
 }
 
@@ -177,6 +177,13 @@
     val bytes: ByteArray?,
 ) : Message
 
+/** Entry to home: [program] has spent its budget at another home. Answered by [Done] once that is written down. */
+@Serializable
+@SerialName("spent")
+data class BudgetSpentElsewhere(
+    val program: ProgramName,
+) : Message
+
 /** Entry to host: how loaded is its engine? Answered by [GateStatus]. */
 @Serializable
 @SerialName("load?")
--- a/turns/src/main/kotlin/sycamore/turns/ProgramTurns.kt
+++ b/turns/src/main/kotlin/sycamore/turns/ProgramTurns.kt
@@ -21,7 +21,7 @@
     /** A turn of this name was started before. */
     data object Repeated : TurnStart
 
-    /** The program has turns already, and another home may have it too: its budget could be spent there. */
+    /** The program is not here, and has spent its budget at another home. */
     data object Unverified : TurnStart
 }
 
@@ -58,14 +58,10 @@
     private val turns = HashMap<AttemptId, Turn>()
 
     /** Ends whose start has not been applied yet, since records may come in any order. */
-    private val earlyEnds = HashMap<AttemptId, TurnRecord>()
+    private val earlyEnds = HashMap<AttemptId, TurnEnd>()
     private var spent = 0L
     private var reserved = 0L
 
-    /** Whether it was certain once that no other home has the program. */
-    var isVerified = false
-        private set
-
     /** Tokens that were spent or may be spent by turns that have not ended. */
     val committedTokens: Long get() = spent + reserved
 
@@ -87,7 +83,6 @@
         val previous = request.previous
         return when {
             request.turn in turns -> TurnStart.Repeated
-            turns.isNotEmpty() && !isVerified && !request.isVerified -> TurnStart.Unverified
             previous != null && base == null && !isWhole(previous) -> TurnStart.NoSuchTurn
             left != null && request.most > left -> TurnStart.BudgetSpent(left.coerceAtLeast(0))
             else -> {
@@ -99,7 +94,6 @@
                         input = request.input,
                         reserved = request.most,
                         base = base,
-                        isVerified = request.isVerified,
                     )
                 apply(record)
                 TurnStart.Admitted(record)
@@ -117,13 +111,13 @@
     fun apply(record: TurnRecord) {
         when (record) {
             is TurnStarted -> begin(record)
+            is ProgramSpent -> Unit
             is TurnFinished -> end(record, record.tokens, record.output)
             is TurnBroken -> end(record, record.tokens, output = null)
         }
     }
 
     private fun begin(record: TurnStarted) {
-        isVerified = isVerified || record.isVerified
         if (record.turn in turns) return
         turns[record.turn] = Turn(record.previous, record.input, record.base, record.reserved)
         reserved += record.reserved
@@ -131,7 +125,7 @@
     }
 
     private fun end(
-        record: TurnRecord,
+        record: TurnEnd,
         tokens: Long,
         output: ByteArray?,
     ) {
@@ -184,7 +178,7 @@
     /** Records from which all of this can be folded again. */
     fun records(name: ProgramName): List<TurnRecord> =
         turns.flatMap { (id, turn) ->
-            val start = TurnStarted(name, id, turn.previous, turn.input, turn.reserved, turn.base, isVerified)
+            val start = TurnStarted(name, id, turn.previous, turn.input, turn.reserved, turn.base)
             listOfNotNull(start, endOf(name, id, turn))
         }
 
@@ -192,7 +186,7 @@
         name: ProgramName,
         id: AttemptId,
         turn: Turn,
-    ): TurnRecord? {
+    ): TurnEnd? {
         val output = turn.output
         return when {
             output != null -> TurnFinished(name, id, output, turn.tokens)
--- a/turns/src/main/kotlin/sycamore/turns/TurnRecord.kt
+++ b/turns/src/main/kotlin/sycamore/turns/TurnRecord.kt
@@ -11,6 +11,11 @@
 @Serializable
 sealed interface TurnRecord {
     val program: ProgramName
+}
+
+/** How a turn ended. */
+@Serializable
+sealed interface TurnEnd : TurnRecord {
     val turn: AttemptId
 }
 
@@ -20,19 +25,17 @@
  * @property previous the turn that it continues; null at the start of a chain.
  * @property input what the caller sent.
  * @property reserved tokens of the budget that the turn may generate at most.
- * @property isVerified whether it was certain that no other home has the program.
  * @property base prompt of [previous], if that turn lives at another home; null otherwise.
  */
 @Serializable
 @SerialName("s")
 data class TurnStarted(
     @SerialName("p") override val program: ProgramName,
-    @SerialName("t") override val turn: AttemptId,
+    @SerialName("t") val turn: AttemptId,
     @SerialName("v") val previous: AttemptId?,
     @SerialName("i") val input: ByteArray,
     @SerialName("r") val reserved: Long,
     @SerialName("b") val base: ByteArray? = null,
-    @SerialName("c") val isVerified: Boolean = false,
 ) : TurnRecord
 
 /** A turn was answered whole: its caller may continue from it. [output] is what the next prompt repeats of it. */
@@ -43,7 +46,7 @@
     @SerialName("t") override val turn: AttemptId,
     @SerialName("o") val output: ByteArray,
     @SerialName("n") val tokens: Long,
-) : TurnRecord
+) : TurnEnd
 
 /** A turn ended without a whole answer, after [tokens] tokens. */
 @Serializable
@@ -52,6 +55,13 @@
     @SerialName("p") override val program: ProgramName,
     @SerialName("t") override val turn: AttemptId,
     @SerialName("n") val tokens: Long,
+) : TurnEnd
+
+/** The program has spent its budget at another home, and may come back. */
+@Serializable
+@SerialName("x")
+data class ProgramSpent(
+    @SerialName("p") override val program: ProgramName,
 ) : TurnRecord
 
 /** Encodes records as CBOR. */
--- a/turns/src/main/kotlin/sycamore/turns/TurnTable.kt
+++ b/turns/src/main/kotlin/sycamore/turns/TurnTable.kt
@@ -25,6 +25,7 @@
 
     private val shards = List(SHARDS) { Shard() }
     private val programOf = ConcurrentHashMap<AttemptId, ProgramName>()
+    private val spentElsewhere = ConcurrentHashMap.newKeySet<ProgramName>()
 
     /** How many programs there are. */
     val size: Int get() = shards.sumOf { shard -> shard.lock.withLock { shard.programs.size } }
@@ -50,6 +51,7 @@
         val inherited = base ?: inheritedPrompt(request)
         return on(request.program) { programs ->
             val isNew = request.program !in programs
+            if (isNew && !request.isVerified && request.program in spentElsewhere) return@on TurnStart.Unverified
             val entry = programs.getOrPut(request.program) { Entry(ProgramTurns(), time.markNow()) }
             entry.lastUse = time.markNow()
             val start = entry.turns.start(request, inherited)
@@ -86,14 +88,28 @@
         on(program) { it[program]?.turns?.withdraw(turn) }
     }
 
+    /** Remembers that [program] has spent its budget at another home; false if that was known. */
+    fun markSpent(program: ProgramName): Boolean = spentElsewhere.add(program)
+
     /** Folds [record] in. */
     fun apply(record: TurnRecord) {
+        when (record) {
+            is ProgramSpent -> markSpent(record.program)
+            is TurnStarted -> apply(record, record.turn)
+            is TurnEnd -> apply(record, record.turn)
+        }
+    }
+
+    private fun apply(
+        record: TurnRecord,
+        turn: AttemptId,
+    ) {
         on(record.program) { programs ->
             val entry = programs.getOrPut(record.program) { Entry(ProgramTurns(), time.markNow()) }
             entry.lastUse = time.markNow()
             entry.turns.apply(record)
         }
-        programOf[record.turn] = record.program
+        programOf[turn] = record.program
     }
 
     /** Tokens of [program] that are spent or reserved. */
