--- a/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
@@ -129,7 +129,7 @@
         }
         turns.incrementAndGet()
         try {
-            emitAll(TurnRunner(home, gates::send, exchange, time).run(call))
+            emitAll(TurnRunner(home, gates::send, exchange, time, ::isComplete).run(call))
         } finally {
             turns.decrementAndGet()
         }
@@ -145,7 +145,7 @@
             hasProgram = home.table.has(message.program),
             tokens = home.table.committedTokens(message.program),
             hasPrevious = message.previous?.let { home.table.programWithWhole(it) } != null,
-            isComplete = home.isReady && !hasFormer && !takeovers.isBusy,
+            isComplete = home.isReady && isComplete(),
         )
     }
 
@@ -154,6 +154,9 @@
         return Done
     }
 
+    /** Whether the programs of all homes that this one takes over are here. */
+    private fun isComplete(): Boolean = !hasFormer && !takeovers.isBusy
+
     private suspend fun handOver() {
         val current = home
         if (!current.isReady || current.table.size == 0) return
--- a/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
@@ -39,6 +39,7 @@
     private val send: SendPrompt,
     private val exchange: Exchange,
     private val time: TimeSource,
+    private val isComplete: () -> Boolean,
 ) {
     /** Runs [call], unless it is refused. */
     fun run(call: RunTurn): Flow<Message> =
@@ -59,7 +60,7 @@
                     call.mostTokens,
                     call.isVerified,
                 )
-            when (val start = home.table.start(request, base)) {
+            when (val start = home.table.start(request, base, isComplete())) {
                 is TurnStart.Admitted -> RunningTurn(call, start.record, this).run()
                 is TurnStart.BudgetSpent ->
                     refuse(
--- a/turns/src/main/kotlin/sycamore/turns/TurnTable.kt
+++ b/turns/src/main/kotlin/sycamore/turns/TurnTable.kt
@@ -13,9 +13,11 @@
 class TurnTable(
     private val time: TimeSource.WithComparableMarks,
 ) {
+    /** @property isProvisional whether it began while it was not known which programs had spent their budgets. */
     private class Entry(
         val turns: ProgramTurns,
         var lastUse: ComparableTimeMark,
+        var isProvisional: Boolean = false,
     )
 
     private class Shard {
@@ -43,16 +45,25 @@
      * Starts the turn of [request]. A turn may continue from another program's turn; its prompt is copied then.
      *
      * @param base prompt of the turn that it continues, if that one lives at another home.
+     * @param isComplete whether all is known that former homes of this host knew. Until then a new program gets one turn:
+     * if its budget is spent after all, no more than that one is handed out beyond it.
      */
     fun start(
         request: TurnRequest,
         base: ByteArray? = null,
+        isComplete: Boolean = true,
     ): TurnStart {
         val inherited = base ?: inheritedPrompt(request)
         return on(request.program) { programs ->
             val isNew = request.program !in programs
-            if (isNew && !request.isVerified && request.program in spentElsewhere) return@on TurnStart.Unverified
-            val entry = programs.getOrPut(request.program) { Entry(ProgramTurns(), time.markNow()) }
+            val entry = programs[request.program] ?: Entry(ProgramTurns(), time.markNow(), !isComplete)
+            if (request.isVerified) entry.isProvisional = false
+            if (isNew && isSpent(request)) return@on TurnStart.Unverified
+            if (!isNew && entry.isProvisional) {
+                if (!isComplete || isSpent(request)) return@on TurnStart.Unverified
+                entry.isProvisional = false
+            }
+            programs[request.program] = entry
             entry.lastUse = time.markNow()
             val start = entry.turns.start(request, inherited)
             if (start is TurnStart.Admitted) programOf[request.turn] = request.program
@@ -61,6 +72,8 @@
         }
     }
 
+    private fun isSpent(request: TurnRequest): Boolean = !request.isVerified && request.program in spentElsewhere
+
     private fun inheritedPrompt(request: TurnRequest): ByteArray? {
         val previous = request.previous ?: return null
         val owner = programOf[previous]?.takeIf { it != request.program } ?: return null
