Keep the names of programs that spent their budgets in the store

One write for each such program, one read at each start; the provisional first turn is not needed any more and goes.

--- a/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
@@ -65,6 +65,7 @@
     private val gates = GateRunner(settings.upstream, gate, client, exchange, time)
     private val retainers = RetainerDirectory(keys, settings.place.name, exchange, time) { home.journal.check() }
     private val takeovers = HomeTakeovers(keys, exchange, scope, time) { home }
+    private val spent = SpentPrograms(keys, scope)
     private val turns = AtomicInteger()
 
     @Volatile
@@ -86,7 +87,7 @@
             is RunPrompt -> gates.atOwn(message.call, message.prompt)
             is AskGate -> flowOf(status())
             is FindProgram -> flowOf(find(message))
-            is BudgetSpentElsewhere -> flow { emit(markSpent(message)) }
+            is BudgetSpentElsewhere -> flowOf(Done.also { home.table.markSpent(message.program) })
             is AskPrompt -> flowOf(Prompt(home.table.promptAfter(message.turn)))
             is TakeHome -> flow { emit(takeovers.take(message)) }
             else -> flowOf(Unsupported)
@@ -118,7 +119,7 @@
 
     private fun newHome(): TurnHome {
         val id = HomeId(settings.place.name, settings.name, Incarnation.random())
-        return TurnHome(id, settings.links, settings.place.name, keys, retainers, exchange, time)
+        return TurnHome(id, settings.links, settings.place.name, keys, retainers, spent, exchange, time)
     }
 
     private suspend fun FlowCollector<Message>.run(call: RunTurn) {
@@ -129,7 +130,7 @@
         }
         turns.incrementAndGet()
         try {
-            emitAll(TurnRunner(home, gates::send, exchange, time, ::isComplete).run(call))
+            emitAll(TurnRunner(home, gates::send, exchange, spent, time).run(call))
         } finally {
             turns.decrementAndGet()
         }
@@ -145,18 +146,10 @@
             hasProgram = home.table.has(message.program),
             tokens = home.table.committedTokens(message.program),
             hasPrevious = message.previous?.let { home.table.programWithWhole(it) } != null,
-            isComplete = home.isReady && isComplete(),
+            isComplete = home.isReady && !hasFormer && !takeovers.isBusy,
         )
     }
 
-    private suspend fun markSpent(message: BudgetSpentElsewhere): Message {
-        home.markSpent(message.program)
-        return Done
-    }
-
-    /** Whether the programs of all homes that this one takes over are here. */
-    private fun isComplete(): Boolean = !hasFormer && !takeovers.isBusy
-
     private suspend fun handOver() {
         val current = home
         if (!current.isReady || current.table.size == 0) return
--- /dev/null
+++ b/homes/src/main/kotlin/sycamore/homes/SpentPrograms.kt
@@ -0,0 +1,62 @@
+package sycamore.homes
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import sycamore.routing.ProgramName
+import sycamore.services.KeyValue
+import sycamore.services.Read
+import sycamore.services.Revision
+import sycamore.services.Write
+import sycamore.turns.SpentKeys
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+
+/**
+ * Programs that spent their budgets, as the key-value service names them.
+ *
+ * Such a program may begin anew when its home is lost. Whichever home it comes to has to know that it was there before.
+ */
+internal class SpentPrograms(
+    private val keys: KeyValue,
+    private val scope: CoroutineScope,
+) {
+    private val marked = ConcurrentHashMap<ProgramName, CompletableDeferred<Unit>>()
+
+    /** Writes the name of [program] down, and returns once it is there. */
+    suspend fun mark(program: ProgramName) {
+        val done = CompletableDeferred<Unit>()
+        val other = marked.putIfAbsent(program, done)
+        if (other != null) return other.await()
+        scope.launch {
+            write(program)
+            done.complete(Unit)
+        }
+        done.await()
+    }
+
+    private suspend fun write(program: ProgramName) {
+        while (true) {
+            val write = keys.put(SpentKeys.key(program), ByteArray(0), Revision.ABSENT, KEEP)
+            if (write is Write.Taken || write is Write.Conflict) return
+            delay(RETRY)
+        }
+    }
+
+    /** Reads all names that are written down, again and again until the service answers. */
+    suspend fun read(): List<ProgramName> {
+        while (true) {
+            val read = keys.list(SpentKeys.PREFIX)
+            if (read is Read.Found) return read.value.map { SpentKeys.program(it.key) }
+            delay(RETRY)
+        }
+    }
+
+    private companion object {
+        /** Longer than any route keeps a turn. */
+        val KEEP = 10.minutes
+        val RETRY = 300.milliseconds
+    }
+}
--- a/homes/src/main/kotlin/sycamore/homes/TurnHome.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnHome.kt
@@ -9,7 +9,6 @@
 import sycamore.model.Address
 import sycamore.model.HomeId
 import sycamore.model.PlaceName
-import sycamore.routing.ProgramName
 import sycamore.services.KeyValue
 import sycamore.services.Read
 import sycamore.services.Revision
@@ -17,7 +16,6 @@
 import sycamore.turns.HomeEntry
 import sycamore.turns.HomeKeys
 import sycamore.turns.LogRecord
-import sycamore.turns.ProgramSpent
 import sycamore.turns.TurnBroken
 import sycamore.turns.TurnEnd
 import sycamore.turns.TurnFinished
@@ -39,6 +37,7 @@
     place: PlaceName,
     private val keys: KeyValue,
     private val retainers: RetainerDirectory,
+    private val spent: SpentPrograms,
     exchange: Exchange,
     time: TimeSource.WithComparableMarks,
 ) {
@@ -54,6 +53,7 @@
     /** Registers the home and does its own work, until it has ended or the caller is cancelled. */
     suspend fun run() {
         register()
+        spent.read().forEach(table::markSpent)
         retainers.isRead.await()
         coroutineScope {
             val work = listOf(launch { journal.run() }, launch { retention.run() }, launch { dropIdle() })
@@ -99,13 +99,6 @@
         )
     }
 
-    /** [program] has spent its budget at another home. */
-    suspend fun markSpent(program: ProgramName) {
-        if (!table.markSpent(program)) return
-        val number = journal.append(ProgramSpent(program))
-        retention.awaitSafe(number, SAFE_LIMIT)
-    }
-
     private suspend fun dropIdle() {
         while (true) {
             delay(DROP_PERIOD)
@@ -117,7 +110,6 @@
     private companion object {
         val RETRY = 200.milliseconds
         val DROP_PERIOD = 10.seconds
-        val SAFE_LIMIT = 2.seconds
 
         /** Longer than any route keeps a turn, since a program may come back after a final fault. */
         val KEEP: Duration = 5.minutes
--- a/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
@@ -38,8 +38,8 @@
     private val home: TurnHome,
     private val send: SendPrompt,
     private val exchange: Exchange,
+    private val spent: SpentPrograms,
     private val time: TimeSource,
-    private val isComplete: () -> Boolean,
 ) {
     /** Runs [call], unless it is refused. */
     fun run(call: RunTurn): Flow<Message> =
@@ -60,7 +60,7 @@
                     call.mostTokens,
                     call.isVerified,
                 )
-            when (val start = home.table.start(request, base, isComplete())) {
+            when (val start = home.table.start(request, base)) {
                 is TurnStart.Admitted -> RunningTurn(call, start.record, this).run()
                 is TurnStart.BudgetSpent ->
                     refuse(
@@ -92,6 +92,10 @@
             "budget" to call.tokenBudget,
             "most" to call.mostTokens,
         )
+        if (reason == TurnRefusal.BUDGET_SPENT) {
+            home.table.markSpent(call.program)
+            withTimeoutOrNull(MARK_LIMIT) { spent.mark(call.program) }
+        }
         emit(TurnRefused(reason, detail))
     }
 
@@ -236,6 +240,9 @@
 
     private companion object {
         val SUCCESSES = 200..299
+
+        /** A first refusal waits for the store for this long: a program whose end is not known could begin anew. */
+        val MARK_LIMIT = 300.milliseconds
         val ASK_LIMIT = 500.milliseconds
         val LATER = 300.milliseconds
 
--- a/links/src/main/kotlin/sycamore/links/TurnMessage.kt
+++ b/links/src/main/kotlin/sycamore/links/TurnMessage.kt
@@ -177,7 +177,7 @@
     val bytes: ByteArray?,
 ) : Message
 
-/** Entry to home: [program] has spent its budget at another home. Answered by [Done] once that is written down. */
+/** Entry to home: [program] has spent its budget at another home. Answered by [Done]. */
 @Serializable
 @SerialName("spent")
 data class BudgetSpentElsewhere(
--- a/turns/src/main/kotlin/sycamore/turns/ProgramTurns.kt
+++ b/turns/src/main/kotlin/sycamore/turns/ProgramTurns.kt
@@ -111,7 +111,6 @@
     fun apply(record: TurnRecord) {
         when (record) {
             is TurnStarted -> begin(record)
-            is ProgramSpent -> Unit
             is TurnFinished -> end(record, record.tokens, record.output)
             is TurnBroken -> end(record, record.tokens, output = null)
         }
--- a/turns/src/main/kotlin/sycamore/turns/StoreRecords.kt
+++ b/turns/src/main/kotlin/sycamore/turns/StoreRecords.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.json.Json
 import sycamore.model.Address
 import sycamore.model.HomeId
+import sycamore.routing.ProgramName
 
 private val json = Json { ignoreUnknownKeys = true }
 
@@ -52,3 +53,15 @@
     /** The entry that [value] holds. */
     fun decode(value: ByteArray): HomeEntry = json.decodeFromString(HomeEntry.serializer(), value.decodeToString())
 }
+
+/** Names of programs that spent their budgets, in the key-value service. */
+object SpentKeys {
+    /** Before each program's name. */
+    const val PREFIX = "sycamore/spent/"
+
+    /** The key of [program]. */
+    fun key(program: ProgramName): String = PREFIX + program
+
+    /** The program that [key] names. */
+    fun program(key: String): ProgramName = ProgramName(key.removePrefix(PREFIX))
+}
--- a/turns/src/main/kotlin/sycamore/turns/TurnRecord.kt
+++ b/turns/src/main/kotlin/sycamore/turns/TurnRecord.kt
@@ -57,13 +57,6 @@
     @SerialName("n") val tokens: Long,
 ) : TurnEnd
 
-/** The program has spent its budget at another home, and may come back. */
-@Serializable
-@SerialName("x")
-data class ProgramSpent(
-    @SerialName("p") override val program: ProgramName,
-) : TurnRecord
-
 /** Encodes records as CBOR. */
 object TurnRecords {
     private val cbor =
--- a/turns/src/main/kotlin/sycamore/turns/TurnTable.kt
+++ b/turns/src/main/kotlin/sycamore/turns/TurnTable.kt
@@ -13,11 +13,9 @@
 class TurnTable(
     private val time: TimeSource.WithComparableMarks,
 ) {
-    /** @property isProvisional whether it began while it was not known which programs had spent their budgets. */
     private class Entry(
         val turns: ProgramTurns,
         var lastUse: ComparableTimeMark,
-        var isProvisional: Boolean = false,
     )
 
     private class Shard {
@@ -27,7 +25,7 @@
 
     private val shards = List(SHARDS) { Shard() }
     private val programOf = ConcurrentHashMap<AttemptId, ProgramName>()
-    private val spentElsewhere = ConcurrentHashMap.newKeySet<ProgramName>()
+    private val spent = ConcurrentHashMap.newKeySet<ProgramName>()
 
     /** How many programs there are. */
     val size: Int get() = shards.sumOf { shard -> shard.lock.withLock { shard.programs.size } }
@@ -45,25 +43,16 @@
      * Starts the turn of [request]. A turn may continue from another program's turn; its prompt is copied then.
      *
      * @param base prompt of the turn that it continues, if that one lives at another home.
-     * @param isComplete whether all is known that former homes of this host knew. Until then a new program gets one turn:
-     * if its budget is spent after all, no more than that one is handed out beyond it.
      */
     fun start(
         request: TurnRequest,
         base: ByteArray? = null,
-        isComplete: Boolean = true,
     ): TurnStart {
         val inherited = base ?: inheritedPrompt(request)
         return on(request.program) { programs ->
             val isNew = request.program !in programs
-            val entry = programs[request.program] ?: Entry(ProgramTurns(), time.markNow(), !isComplete)
-            if (request.isVerified) entry.isProvisional = false
-            if (isNew && isSpent(request)) return@on TurnStart.Unverified
-            if (!isNew && entry.isProvisional) {
-                if (!isComplete || isSpent(request)) return@on TurnStart.Unverified
-                entry.isProvisional = false
-            }
-            programs[request.program] = entry
+            if (isNew && !request.isVerified && request.program in spent) return@on TurnStart.Unverified
+            val entry = programs.getOrPut(request.program) { Entry(ProgramTurns(), time.markNow()) }
             entry.lastUse = time.markNow()
             val start = entry.turns.start(request, inherited)
             if (start is TurnStart.Admitted) programOf[request.turn] = request.program
@@ -72,8 +61,6 @@
         }
     }
 
-    private fun isSpent(request: TurnRequest): Boolean = !request.isVerified && request.program in spentElsewhere
-
     private fun inheritedPrompt(request: TurnRequest): ByteArray? {
         val previous = request.previous ?: return null
         val owner = programOf[previous]?.takeIf { it != request.program } ?: return null
@@ -101,13 +88,14 @@
         on(program) { it[program]?.turns?.withdraw(turn) }
     }
 
-    /** Remembers that [program] has spent its budget at another home; false if that was known. */
-    fun markSpent(program: ProgramName): Boolean = spentElsewhere.add(program)
+    /** Remembers that [program] has spent its budget, here or at another home. */
+    fun markSpent(program: ProgramName) {
+        spent += program
+    }
 
     /** Folds [record] in. */
     fun apply(record: TurnRecord) {
         when (record) {
-            is ProgramSpent -> markSpent(record.program)
             is TurnStarted -> apply(record, record.turn)
             is TurnEnd -> apply(record, record.turn)
         }
