--- a/forwarding/src/main/kotlin/sycamore/forwarding/PlatformDaemon.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/PlatformDaemon.kt
@@ -1,12 +1,6 @@
 package sycamore.forwarding
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import org.eclipse.jetty.client.HttpClient
-import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP
-import org.eclipse.jetty.util.thread.QueuedThreadPool
-import org.http4k.client.JettyClient
-import org.http4k.core.BodyMode
-import org.http4k.core.HttpHandler
 import sun.misc.Signal
 import sycamore.daemon.Program
 import sycamore.daemon.Stop
@@ -33,7 +27,7 @@
     /** The platform's store. */
     val keys =
         keyValueClient(
-            StoreKeyValue(settings.store.address, storeClient(), Threads.blocking),
+            StoreKeyValue(settings.store.address, StoreHttp.client(), Threads.blocking),
         ) {
             // Far above what a daemon calls; a fault in one daemon must not use up what all share.
             callsPerSecond = 20.0
@@ -41,12 +35,6 @@
             timeout = STORE_TIMEOUT
         }
 
-    private fun storeClient(): HttpHandler {
-        val client = HttpClient(HttpClientTransportOverHTTP(ProbingConnector()))
-        client.executor = QueuedThreadPool(MAX_STORE_THREADS, MIN_STORE_THREADS)
-        return JettyClient(client, bodyMode = BodyMode.Memory)
-    }
-
     /** Links to other daemons. */
     val links = LinkClient(settings.name, bounds = LINKS)
 
@@ -70,9 +58,6 @@
         /** The store answers in milliseconds; a call that takes this long has lost its connection or its answer. */
         private val STORE_TIMEOUT = 2.seconds
 
-        private const val MAX_STORE_THREADS = 8
-        private const val MIN_STORE_THREADS = 2
-
         /** What is left of the time before the process is killed, for its last log lines. */
         private val STOP_RESERVE = 300.milliseconds
 
--- /dev/null
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/StoreHttp.kt
@@ -0,0 +1,69 @@
+package sycamore.forwarding
+
+import org.eclipse.jetty.client.BytesRequestContent
+import org.eclipse.jetty.client.CompletableResponseListener
+import org.eclipse.jetty.client.ContentResponse
+import org.eclipse.jetty.client.HttpClient
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP
+import org.eclipse.jetty.util.thread.QueuedThreadPool
+import org.http4k.core.HttpHandler
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
+import java.net.ConnectException
+import java.util.concurrent.ExecutionException
+
+/**
+ * The HTTP client for the platform's store.
+ *
+ * http4k's own client holds answers of at most 2 MiB; a page of the store is longer when its values do not compress.
+ */
+internal object StoreHttp {
+    private const val MAX_THREADS = 8
+    private const val MIN_THREADS = 2
+
+    /** Several times a page of the store, which holds 1 MB of values, as base64 text. */
+    private const val MAX_ANSWER_BYTES = 16 * 1024 * 1024
+
+    /** A client whose connections are probed. An interrupted call closes its connection. */
+    fun client(): HttpHandler {
+        val client =
+            HttpClient(HttpClientTransportOverHTTP(ProbingConnector())).apply {
+                executor = QueuedThreadPool(MAX_THREADS, MIN_THREADS)
+                isFollowRedirects = false
+                start()
+            }
+        return { request -> call(client, request) }
+    }
+
+    private fun call(
+        client: HttpClient,
+        request: Request,
+    ): Response {
+        val jetty = client.newRequest(request.uri.toString()).method(request.method.name)
+        jetty.headers { fields -> request.headers.forEach { (name, value) -> fields.add(name, value.orEmpty()) } }
+        val body = request.body.payload
+        if (body.hasRemaining()) {
+            jetty.body(
+                BytesRequestContent(null as String?, ByteArray(body.remaining()).also(body::get)),
+            )
+        }
+        val answer = CompletableResponseListener(jetty, MAX_ANSWER_BYTES).send()
+        try {
+            return answer.get().toHttp4k()
+        } catch (e: InterruptedException) {
+            jetty.abort(e)
+            throw e
+        } catch (e: ExecutionException) {
+            if (e.cause is ConnectException) return Response(Status.CONNECTION_REFUSED)
+            throw e.cause ?: e
+        }
+    }
+
+    private fun ContentResponse.toHttp4k(): Response =
+        headers.fold(
+            Response(Status(status, reason)).body(content.inputStream(), content.size.toLong()),
+        ) { response, field ->
+            response.header(field.name, field.value)
+        }
+}
--- a/homes/src/main/kotlin/sycamore/homes/LostHome.kt
+++ b/homes/src/main/kotlin/sycamore/homes/LostHome.kt
@@ -1,5 +1,7 @@
 package sycamore.homes
 
+import io.github.oshai.kotlinlogging.KotlinLogging
+import sycamore.daemon.log.warning
 import sycamore.model.HomeId
 import sycamore.services.Item
 import sycamore.services.KeyValue
@@ -12,6 +14,8 @@
 import sycamore.turns.Retainer
 import kotlin.time.Duration.Companion.minutes
 
+private val log = KotlinLogging.logger {}
+
 /**
  * The log of a home that has ended, sealed.
  *
@@ -54,12 +58,15 @@
         successor: HomeId,
     ): LostHome? {
         while (true) {
-            val log = read(lost) ?: return null
-            if (log.segments.lastOrNull()?.sealedBy != null) return LostHome(lost, log.items, log.segments)
-            val next = (log.items.lastOrNull()?.let { LogSegments.sequence(it.key) } ?: 0) + 1
+            val found = read(lost) ?: return null
+            if (found.segments.lastOrNull()?.sealedBy != null) return LostHome(lost, found.items, found.segments)
+            val next = (found.items.lastOrNull()?.let { LogSegments.sequence(it.key) } ?: 0) + 1
             val seal = LogSegment(lost, "$successor seals", emptyList(), sealedBy = successor)
             val write = keys.put(LogSegments.key(lost, next), LogSegments.encode(seal), Revision.ABSENT, SEAL_LEASE)
-            if (write is Write.NotSent) return null
+            if (write is Write.NotSent) {
+                log.warning("log-not-sealed", "home" to lost, "detail" to write.reason)
+                return null
+            }
         }
     }
 
@@ -74,7 +81,14 @@
     )
 
     private suspend fun read(lost: HomeId): Log? {
-        val read = keys.list(LogSegments.prefix(lost)) as? Read.Found ?: return null
+        val read =
+            when (val read = keys.list(LogSegments.prefix(lost))) {
+                is Read.Found -> read
+                is Read.Unreachable -> {
+                    log.warning("log-not-read", "home" to lost, "detail" to read.reason)
+                    return null
+                }
+            }
         val items = read.value.filter { it.value != null }
         return Log(items, items.map { LogSegments.decode(it.value!!) })
     }
