Test homes under kills, cuts and outages in virtual time; settle a change of retainers at once

Found by the tests: after a change of retainers the log named the former ones until the next record was committed, so that a takeover needed them although they were gone. A segment without them now follows within half a second.

--- a/daemon/src/test/kotlin/sycamore/daemon/log/JsonLineEncoderTest.kt
+++ b/daemon/src/test/kotlin/sycamore/daemon/log/JsonLineEncoderTest.kt
@@ -53,8 +53,8 @@
         event.addKeyValuePair(KeyValuePair("request", "r1"))
         val line = JsonLineEncoder().apply { omitNulls = true }.encode(event).decodeToString()
         assertEquals(
-            """{"time":"1970-01-01T00:00:00Z","level":"INFO","logger":"sycamore.Test","message":"started","request":"r1"}""" +
-                "\n",
+            """{"time":"1970-01-01T00:00:00Z","level":"INFO","logger":"sycamore.Test",""" +
+                """"message":"started","request":"r1"}""" + "\n",
             line,
         )
     }
--- a/forwarding/src/main/kotlin/sycamore/forwarding/UpstreamClient.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/UpstreamClient.kt
@@ -58,6 +58,13 @@
     val sent: Boolean,
 ) : IOException(message)
 
+/**
+ * Sends a request to an upstream and yields its answer; fails with [UpstreamException] when there is no whole one.
+ *
+ * Whoever stops collecting gives the request up.
+ */
+typealias CallUpstream = (request: UpstreamRequest) -> Flow<AnswerEvent>
+
 /** Sends requests to upstreams over connections that are kept open. */
 class UpstreamClient(
     connectTimeout: Duration = CONNECT_TIMEOUT,
@@ -77,7 +84,7 @@
             protocolHandlers.clear()
         }
 
-    /** Sends [request] and yields its answer. Whoever stops collecting closes the connection. */
+    /** Sends [request]; see [CallUpstream]. */
     fun exchange(request: UpstreamRequest): Flow<AnswerEvent> =
         flow {
             val answer = Answer()
--- a/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
@@ -9,8 +9,8 @@
 import sycamore.daemon.Background
 import sycamore.daemon.log.event
 import sycamore.forwarding.BodyTooLargeException
+import sycamore.forwarding.CallUpstream
 import sycamore.forwarding.CallerExchange
-import sycamore.forwarding.UpstreamClient
 import sycamore.links.Exchange
 import sycamore.model.Generation
 import sycamore.model.ServiceName
@@ -35,7 +35,7 @@
     settings: HostSettings,
     keys: KeyValue,
     exchange: Exchange,
-    client: UpstreamClient,
+    callUpstream: CallUpstream,
     private val time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
 ) {
     private val routes = RoutesInForce(keys)
@@ -45,7 +45,7 @@
     private val background = Background()
     private val homeList = HomeList(keys)
     private val homes = ProgramHomes(settings.place.name, board, homeList, exchange, background, time)
-    private val plain = PlainCalls(upstreams, UpstreamLoads(settings.place.name, time), client)
+    private val plain = PlainCalls(upstreams, UpstreamLoads(settings.place.name, time), callUpstream)
     private val turns = TurnCalls(settings.place.name, homes, board, ::engine, exchange, time)
 
     /** Whether callers may be sent here. */
--- a/gateway/src/main/kotlin/sycamore/gateway/Main.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/Main.kt
@@ -22,7 +22,7 @@
         settings.readiness ?: Program.fail(Program.EXIT_MISUSE, "expected an address for readiness, found none")
     Program.daemon("sycamore-gateway") {
         val runtime = PlatformDaemon(settings)
-        val gateway = Gateway(settings, runtime.keys, runtime.links::exchange, UpstreamClient())
+        val gateway = Gateway(settings, runtime.keys, runtime.links::exchange, UpstreamClient()::exchange)
         launch { gateway.run() }
         val server = CallerServer(callers, gateway::limits, Dispatchers.Default, gateway::serve).start()
         var isLeaving = false
--- a/gateway/src/main/kotlin/sycamore/gateway/PlainCalls.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/PlainCalls.kt
@@ -2,8 +2,8 @@
 
 import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.forwarding.AnswerEvent
+import sycamore.forwarding.CallUpstream
 import sycamore.forwarding.CallerExchange
-import sycamore.forwarding.UpstreamClient
 import sycamore.forwarding.UpstreamException
 import sycamore.forwarding.UpstreamRequest
 import sycamore.platform.AnswerHead
@@ -20,7 +20,7 @@
 internal class PlainCalls(
     private val upstreams: UpstreamDirectory,
     private val loads: UpstreamLoads,
-    private val client: UpstreamClient,
+    private val callUpstream: CallUpstream,
 ) {
     /** How one attempt ended. */
     private sealed interface Attempt {
@@ -125,7 +125,7 @@
         var head: AnswerEvent.Head? = null
         val body = ByteArrayOutputStream()
         try {
-            client.exchange(request).collect { event ->
+            callUpstream(request).collect { event ->
                 when (event) {
                     is AnswerEvent.Head -> head = event
                     is AnswerEvent.Bytes -> body.write(event.bytes)
--- a/homes/src/main/kotlin/sycamore/homes/EngineCall.kt
+++ b/homes/src/main/kotlin/sycamore/homes/EngineCall.kt
@@ -2,7 +2,7 @@
 
 import kotlinx.coroutines.flow.FlowCollector
 import sycamore.forwarding.AnswerEvent
-import sycamore.forwarding.UpstreamClient
+import sycamore.forwarding.CallUpstream
 import sycamore.forwarding.UpstreamException
 import sycamore.forwarding.UpstreamRequest
 import sycamore.links.HeaderField
@@ -21,7 +21,7 @@
 
 /** Sends one composed turn to an engine and passes its answer on as it comes. */
 internal class EngineCall(
-    private val client: UpstreamClient,
+    private val callUpstream: CallUpstream,
     private val call: RunTurn,
 ) {
     private var head: AnswerHead? = null
@@ -36,7 +36,7 @@
         val request = UpstreamRequest(call.target.address, call.method, call.path, headers, prompt)
         var end: Message = TurnBroke("the engine's answer has no end")
         try {
-            client.exchange(request).collect { event ->
+            callUpstream(request).collect { event ->
                 when (event) {
                     is AnswerEvent.Head -> begin(event, replies)
                     is AnswerEvent.Bytes -> if (head?.isNotRun == false) replies.emit(TurnBytes(event.bytes))
--- a/homes/src/main/kotlin/sycamore/homes/GateRunner.kt
+++ b/homes/src/main/kotlin/sycamore/homes/GateRunner.kt
@@ -3,7 +3,7 @@
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.emitAll
 import kotlinx.coroutines.flow.flow
-import sycamore.forwarding.UpstreamClient
+import sycamore.forwarding.CallUpstream
 import sycamore.links.Exchange
 import sycamore.links.Message
 import sycamore.links.RunPrompt
@@ -25,7 +25,7 @@
 internal class GateRunner(
     private val own: Address?,
     private val gate: EngineGate,
-    private val client: UpstreamClient,
+    private val callUpstream: CallUpstream,
     private val exchange: Exchange,
     private val time: TimeSource,
 ) {
@@ -41,7 +41,7 @@
             else ->
                 flow {
                     emit(TurnSent)
-                    EngineCall(client, call).run(prompt, call.timeLeft, this)
+                    EngineCall(callUpstream, call).run(prompt, call.timeLeft, this)
                 }
         }
     }
@@ -59,7 +59,7 @@
                 is Passage.Granted ->
                     try {
                         emit(TurnSent)
-                        EngineCall(client, call).run(prompt, call.timeLeft - arrived.elapsedNow(), this)
+                        EngineCall(callUpstream, call).run(prompt, call.timeLeft - arrived.elapsedNow(), this)
                     } finally {
                         passage.release()
                     }
--- a/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
@@ -14,7 +14,7 @@
 import kotlinx.coroutines.flow.flowOf
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
-import sycamore.forwarding.UpstreamClient
+import sycamore.forwarding.CallUpstream
 import sycamore.links.AskGate
 import sycamore.links.AskPrompt
 import sycamore.links.BudgetSpentElsewhere
@@ -56,13 +56,13 @@
     private val settings: HostSettings,
     private val keys: KeyValue,
     private val exchange: Exchange,
-    client: UpstreamClient,
+    callUpstream: CallUpstream,
     context: CoroutineContext,
     private val time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
 ) {
     private val scope = CoroutineScope(context + SupervisorJob(context[Job]) + CoroutineExceptionHandler(::failed))
     private val gate = EngineGate(time)
-    private val gates = GateRunner(settings.upstream, gate, client, exchange, time)
+    private val gates = GateRunner(settings.upstream, gate, callUpstream, exchange, time)
     private val retainers = RetainerDirectory(keys, settings.place.name, exchange, time) { home.journal.check() }
     private val takeovers = HomeTakeovers(keys, exchange, scope, time) { home }
     private val spent = SpentPrograms(keys, scope)
--- a/homes/src/main/kotlin/sycamore/homes/HomeJournal.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeJournal.kt
@@ -22,6 +22,7 @@
 import sycamore.turns.Retainer
 import sycamore.turns.TurnRecord
 import sycamore.turns.TurnRecords
+import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
 import kotlin.time.ComparableTimeMark
@@ -67,9 +68,11 @@
     private val wake = Channel<Unit>(Channel.CONFLATED)
     private val appended = MutableStateFlow(0L)
     private val lastCommitted = MutableStateFlow(0L)
+    private val flushes = AtomicInteger()
     private var pendingBytes = 0L
     private var sequence = 0L
     private var former: List<Retainer> = emptyList()
+    private var lastWrite: ComparableTimeMark? = null
 
     /** The retainers that a successor will surely ask, as the committed part of the log says. */
     val named = MutableStateFlow<List<Retainer>>(emptyList())
@@ -171,10 +174,13 @@
     /** Commits what was appended so far, without waiting for more. */
     suspend fun flush() {
         val target = appended.value
-        val wasUrgent = isUrgent
-        isUrgent = true
-        committed.first { it >= target || ended.isCompleted }
-        isUrgent = wasUrgent
+        flushes.incrementAndGet()
+        wake.trySend(Unit)
+        try {
+            committed.first { it >= target || ended.isCompleted }
+        } finally {
+            flushes.decrementAndGet()
+        }
     }
 
     private fun untilDue(): Duration =
@@ -182,12 +188,15 @@
             val oldest = pending.firstOrNull()
             when {
                 wanted(named.value) != named.value -> Duration.ZERO
+                oldest != null && isDueAtOnce() -> Duration.ZERO
+                former.isNotEmpty() -> FORMER_PERIOD - (lastWrite?.elapsedNow() ?: Duration.ZERO)
                 oldest == null -> CHECK_PERIOD
-                isUrgent || pendingBytes >= SEGMENT_BYTES -> Duration.ZERO
                 else -> minOf(COMMIT_PERIOD - oldest.since.elapsedNow(), CHECK_PERIOD)
             }
         }
 
+    private fun isDueAtOnce(): Boolean = isUrgent || flushes.get() > 0 || pendingBytes >= SEGMENT_BYTES
+
     private fun nextSegment(): LogSegment {
         val retainers = wanted(named.value)
         return lock.withLock {
@@ -221,6 +230,7 @@
         val next = sequence + 1
         if (!write(LogSegments.key(home, next), segment)) return
         sequence = next
+        lastWrite = time.markNow()
         opened.complete(Unit)
         lock.withLock {
             former = segment.formerRetainers
@@ -287,6 +297,9 @@
         /** Longest time that a record waits while retainers keep it: each write is a call to the service that is paid for. */
         val COMMIT_PERIOD: Duration = 2.seconds
         val CHECK_PERIOD: Duration = 1.seconds
+
+        /** Until a segment without former retainers follows one that names them: they may be lost within seconds. */
+        val FORMER_PERIOD: Duration = 500.milliseconds
         val RETRY: Duration = 200.milliseconds
     }
 }
--- a/homes/src/main/kotlin/sycamore/homes/Main.kt
+++ b/homes/src/main/kotlin/sycamore/homes/Main.kt
@@ -11,7 +11,8 @@
     val settings = PlatformDaemon.settings("sycamore-home")
     Program.daemon("sycamore-home") {
         val runtime = PlatformDaemon(settings)
-        val daemon = HomeDaemon(settings, runtime.keys, runtime.links::exchange, UpstreamClient(), coroutineContext)
+        val daemon =
+            HomeDaemon(settings, runtime.keys, runtime.links::exchange, UpstreamClient()::exchange, coroutineContext)
         runtime.serveLinks(daemon::serve)
         launch { daemon.run() }
         runtime.onStop { daemon.stop() }
--- /dev/null
+++ b/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
@@ -0,0 +1,320 @@
+package sycamore.homes
+
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import sycamore.homes.HomeFixture.Companion.address
+import sycamore.homes.HomeFixture.Companion.outcome
+import sycamore.links.AskGate
+import sycamore.links.Declined
+import sycamore.links.FindProgram
+import sycamore.links.GateStatus
+import sycamore.links.HomeAt
+import sycamore.links.HomeTaken
+import sycamore.links.Message
+import sycamore.links.ProgramFound
+import sycamore.links.TakeHome
+import sycamore.links.TurnBytes
+import sycamore.routing.AttemptId
+import sycamore.routing.ProgramName
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNotEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class HomeDaemonTest {
+    private fun home(
+        retainers: Int = 3,
+        test: suspend TestScope.(HomeFixture) -> Unit,
+    ) = runTest {
+        val fixture = HomeFixture(this)
+        (1..retainers).forEach { fixture.retainer(it) }
+        test(fixture)
+    }
+
+    private suspend fun HomeFixture.at(number: Int): HomeAt {
+        val status = exchange(address(number), AskGate).first() as GateStatus
+        return HomeAt(status.home, address(number))
+    }
+
+    private suspend fun HomeFixture.awaitReady(number: Int) {
+        while (!(exchange(address(number), AskGate).first() as GateStatus).isReady) delay(10.milliseconds)
+    }
+
+    private suspend fun HomeFixture.start(number: Int): HomeDaemon = home(number).also { awaitReady(number) }
+
+    private suspend fun HomeFixture.take(
+        lost: HomeAt,
+        by: Int,
+    ): Message = exchange(address(by), TakeHome(lost)).first()
+
+    private suspend fun HomeFixture.find(
+        number: Int,
+        previous: String,
+    ) = exchange(address(number), FindProgram(ProgramName("p"), AttemptId(previous))).first() as ProgramFound
+
+    @Test
+    fun `a turn gets the whole chain before its own input`() =
+        home { fixture ->
+            fixture.start(1)
+            assertEquals("whole", fixture.turn(1, "a").outcome())
+            assertEquals("whole", fixture.turn(1, "b", "a").outcome())
+            assertEquals("in-a;one\ntwo\nin-b;", fixture.prompts["b"])
+        }
+
+    @Test
+    fun `events pass on as they come, and the end waits until two disks keep the turn`() =
+        home { fixture ->
+            fixture.start(1)
+            fixture.work = 400.milliseconds
+            val began = currentTime
+            val times = ArrayList<Long>()
+            fixture.exchange(address(1), fixture.call(1, "a")).collect {
+                if (it is TurnBytes) {
+                    times +=
+                        currentTime - began
+                }
+            }
+            assertEquals(2, times.size)
+            assertTrue(times[1] - times[0] in 190..210, "$times")
+        }
+
+    @Test
+    fun `a killed home's whole turns are served by its successor`() =
+        home { fixture ->
+            fixture.start(1)
+            fixture.start(2)
+            fixture.turn(1, "a")
+            val lost = fixture.at(1)
+            fixture.kill(address(1))
+            assertIs<HomeTaken>(fixture.take(lost, by = 2))
+            assertEquals("whole", fixture.turn(2, "b", "a").outcome())
+            assertEquals("in-a;one\ntwo\nin-b;", fixture.prompts["b"])
+        }
+
+    @Test
+    fun `a killed home's turns are served after one retainer lost its disk`() =
+        home { fixture ->
+            fixture.start(1)
+            fixture.start(2)
+            fixture.turn(1, "a")
+            val lost = fixture.at(1)
+            fixture.kill(address(1))
+            fixture.kill(sycamore.model.Address("10.1.0.1", 7000))
+            fixture.retainer(1, id = "r1-new")
+            assertIs<HomeTaken>(fixture.take(lost, by = 2))
+            assertEquals("whole", fixture.turn(2, "b", "a").outcome())
+        }
+
+    @Test
+    fun `a restarted host takes over its own former home`() =
+        home { fixture ->
+            fixture.start(1)
+            fixture.turn(1, "a")
+            fixture.kill(address(1))
+            fixture.start(1)
+            while (!fixture.find(1, "a").isComplete) delay(50.milliseconds)
+            assertEquals("whole", fixture.turn(1, "b", "a").outcome())
+        }
+
+    @Test
+    fun `a home that lives is not taken over`() =
+        home { fixture ->
+            fixture.start(1)
+            fixture.start(2)
+            assertIs<Declined>(fixture.take(fixture.at(1), by = 2))
+        }
+
+    /** After a restart of all hosts, homes are registered before they are ready (LOST on standard days). */
+    @Test
+    fun `a home that is registered but not ready yet is not taken over`() =
+        home { fixture ->
+            fixture.start(2)
+            fixture.keys.switch { it.copy(delay = 300.milliseconds) }
+            fixture.home(1)
+            delay(400.milliseconds)
+            val starting = fixture.at(1)
+            assertIs<Declined>(fixture.take(starting, by = 2))
+        }
+
+    @Test
+    fun `a home that was taken over while it was silent answers no turn as kept`() =
+        home { fixture ->
+            fixture.start(1)
+            fixture.start(2)
+            fixture.turn(1, "a")
+            val lost = fixture.at(1)
+            fixture.cut += address(1)
+            assertIs<HomeTaken>(fixture.take(lost, by = 2))
+            fixture.cut -= address(1)
+            assertNotEquals("whole", fixture.turn(1, "b", "a").outcome())
+            delay(5.seconds)
+            assertNotEquals(lost.home, fixture.at(1).home)
+        }
+
+    /** The engine got the turn before the home ended, so it must not be told as not run (TWICE on standard days). */
+    @Test
+    fun `a turn that was sent when its home ended is not refused as not run`() =
+        home { fixture ->
+            fixture.start(1)
+            fixture.start(2)
+            fixture.work = 8.seconds
+            val lost = fixture.at(1)
+            val turn = async { fixture.turn(1, "a") }
+            delay(1.seconds)
+            fixture.cut += address(1)
+            assertIs<HomeTaken>(fixture.take(lost, by = 2))
+            assertEquals("broke", turn.await().outcome())
+        }
+
+    @Test
+    fun `tokens of turns under way at a killed home count in full`() =
+        home { fixture ->
+            fixture.start(1)
+            fixture.start(2)
+            fixture.work = 3.seconds
+            val lost = fixture.at(1)
+            val turns = launch { listOf("a", "b").map { async { fixture.turn(1, it, budget = 120) } }.awaitAll() }
+            delay(1.seconds)
+            fixture.kill(address(1))
+            turns.cancel()
+            fixture.take(lost, by = 2)
+            assertEquals("BUDGET_SPENT", fixture.turn(2, "c", budget = 120).outcome())
+        }
+
+    /** It came back without a previous turn and began anew at another home (BUDGET on standard days). */
+    @Test
+    fun `a program that spent its budget is known to homes that start later`() =
+        home { fixture ->
+            fixture.start(1)
+            fixture.turn(1, "a", budget = 60)
+            assertEquals("BUDGET_SPENT", fixture.turn(1, "b", "a", budget = 60).outcome())
+            fixture.kill(address(1))
+            fixture.start(2)
+            assertEquals("NOT_VERIFIED", fixture.turn(2, "c", budget = 60).outcome())
+        }
+
+    /** The successor of a home that died before it had merged another one has to find both. */
+    @Test
+    fun `a chain of lost homes is recovered by the last successor`() =
+        home { fixture ->
+            fixture.start(1)
+            fixture.start(2)
+            fixture.start(3)
+            fixture.turn(1, "a")
+            val first = fixture.at(1)
+            fixture.kill(address(1))
+            assertIs<HomeTaken>(fixture.take(first, by = 2))
+            val second = fixture.at(2)
+            fixture.kill(address(2))
+            assertIs<HomeTaken>(fixture.take(second, by = 3))
+            assertEquals("whole", fixture.turn(3, "b", "a").outcome())
+        }
+
+    @Test
+    fun `turns are kept while the store is away`() =
+        home { fixture ->
+            fixture.start(1)
+            fixture.start(2)
+            fixture.keys.switch { it.copy(down = true) }
+            delay(5.seconds)
+            assertEquals("whole", fixture.turn(1, "a").outcome())
+            val lost = fixture.at(1)
+            fixture.kill(address(1))
+            assertIs<Declined>(fixture.take(lost, by = 2))
+            fixture.keys.switch { it.copy(down = false) }
+            assertIs<HomeTaken>(fixture.take(lost, by = 2))
+            assertEquals("whole", fixture.turn(2, "b", "a").outcome())
+        }
+
+    @Test
+    fun `without retainers a turn is committed before it counts`() =
+        home(retainers = 0) { fixture ->
+            fixture.start(1)
+            fixture.start(2)
+            assertEquals("whole", fixture.turn(1, "a").outcome())
+            val lost = fixture.at(1)
+            fixture.kill(address(1))
+            assertIs<HomeTaken>(fixture.take(lost, by = 2))
+            assertEquals("whole", fixture.turn(2, "b", "a").outcome())
+        }
+
+    /** Registrations of hosts that are gone stay in the store; naming them made takeovers wait for ever (LOST). */
+    @Test
+    fun `a retainer that is gone for good is replaced by one that answers`() =
+        home { fixture ->
+            fixture.start(1)
+            fixture.start(2)
+            fixture.kill(sycamore.model.Address("10.1.0.1", 7000))
+            val fourth = fixture.retainer(4, place = "p1")
+            delay(6.seconds)
+            repeat(3) { fixture.turn(1, "t$it") }
+            delay(1.seconds)
+            assertTrue(fourth.messages > 0, "expected records at the new retainer")
+            val lost = fixture.at(1)
+            fixture.kill(address(1))
+            fixture.kill(sycamore.model.Address("10.1.0.2", 7000))
+            assertIs<HomeTaken>(fixture.take(lost, by = 2))
+            assertEquals("whole", fixture.turn(2, "b", "t2").outcome())
+        }
+
+    /** All adopted records went to the retainers in one message, again and again (LOST, RECOVER on standard days). */
+    @Test
+    fun `records of a home that was taken over are not sent to retainers`() =
+        home { fixture ->
+            fixture.start(1)
+            fixture.start(2)
+            repeat(40) { fixture.turn(1, "t$it") }
+            delay(5.seconds)
+            val lost = fixture.at(1)
+            fixture.kill(address(1))
+            assertIs<HomeTaken>(fixture.take(lost, by = 2))
+            delay(100.milliseconds)
+            val kept = fixture.retainer(9, place = "p9")
+            delay(10.seconds)
+            assertEquals(0, kept.count)
+        }
+
+    @Test
+    fun `a planned stop hands the programs over and cuts off no turn`() =
+        home { fixture ->
+            val daemon = fixture.start(1)
+            fixture.start(2)
+            fixture.turn(1, "a")
+            fixture.work = 2.seconds
+            val turn = async { fixture.turn(1, "b", "a") }
+            delay(500.milliseconds)
+            daemon.stop()
+            assertEquals("whole", turn.await().outcome())
+            fixture.kill(address(1))
+            fixture.work = 50.milliseconds
+            assertEquals("whole", fixture.turn(2, "c", "b").outcome())
+            assertEquals("in-a;one\ntwo\nin-b;one\ntwo\nin-c;", fixture.prompts["c"])
+        }
+
+    @Test
+    fun `a program continues a turn that lives at another home`() =
+        home { fixture ->
+            fixture.start(1)
+            fixture.start(2)
+            fixture.turn(1, "a")
+            val replies = fixture.turn(2, "b", "a", program = "q", previousAt = fixture.at(1))
+            assertEquals("whole", replies.outcome())
+            assertEquals("in-a;one\ntwo\nin-b;", fixture.prompts["b"])
+        }
+
+    @Test
+    fun `a turn that does not exist is refused`() =
+        home { fixture ->
+            fixture.start(1)
+            assertEquals("NO_SUCH_TURN", fixture.turn(1, "b", "never").outcome())
+        }
+}
--- /dev/null
+++ b/homes/src/test/kotlin/sycamore/homes/HomeFixture.kt
@@ -0,0 +1,278 @@
+package sycamore.homes
+
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.emitAll
+import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.flow.flowOf
+import kotlinx.coroutines.flow.toList
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.testTimeSource
+import sycamore.forwarding.AnswerEvent
+import sycamore.forwarding.UpstreamRequest
+import sycamore.links.AskRetainer
+import sycamore.links.Declined
+import sycamore.links.Done
+import sycamore.links.DropHome
+import sycamore.links.EndHome
+import sycamore.links.Exchange
+import sycamore.links.HomeAt
+import sycamore.links.KeepRecords
+import sycamore.links.LinkException
+import sycamore.links.Message
+import sycamore.links.RecordsOf
+import sycamore.links.RunTurn
+import sycamore.links.Serve
+import sycamore.links.TurnBroke
+import sycamore.links.TurnRefused
+import sycamore.links.TurnWhole
+import sycamore.links.Unsupported
+import sycamore.model.Address
+import sycamore.model.HomeId
+import sycamore.model.HostName
+import sycamore.model.Place
+import sycamore.model.PlaceName
+import sycamore.model.RegionName
+import sycamore.model.ServiceName
+import sycamore.platform.HostSettings
+import sycamore.platform.PlatformBounds
+import sycamore.platform.StoreSettings
+import sycamore.routing.AttemptId
+import sycamore.routing.ListedUpstream
+import sycamore.routing.ProgramName
+import sycamore.routing.UpstreamId
+import sycamore.services.Revision
+import sycamore.services.Write
+import sycamore.standins.FaultyKeyValue
+import sycamore.standins.KeyValueStore
+import sycamore.turns.LogRecord
+import sycamore.turns.Retainer
+import sycamore.turns.RetainerId
+import sycamore.turns.RetainerKeys
+import java.util.TreeMap
+import kotlin.test.assertIs
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Homes, retainers and a store in one process and in virtual time, with links that can be cut. */
+internal class HomeFixture(
+    private val test: TestScope,
+) {
+    val time = test.testTimeSource
+    val keys = FaultyKeyValue(KeyValueStore(time), time)
+
+    /** Prompts that engines got, by turn. */
+    val prompts = HashMap<String, String>()
+
+    /** Addresses that cannot be reached. */
+    val cut = HashSet<Address>()
+
+    private val daemons = HashMap<Address, Serve>()
+    private val scopes = HashMap<Address, CoroutineScope>()
+
+    /** How long an engine works on a turn. */
+    var work: Duration = 50.milliseconds
+
+    /** What an engine answers to a turn. */
+    var events: List<String> = listOf("one", "two")
+
+    val exchange: Exchange = { to, message -> flow { emitAll(deliver(to, message)) } }
+
+    private suspend fun deliver(
+        to: Address,
+        message: Message,
+    ): Flow<Message> {
+        delay(1.milliseconds)
+        val serve = daemons[to] ?: throw LinkException("$to is down", sent = false, isRefused = true)
+        if (to in cut) {
+            delay(1.seconds)
+            throw LinkException("$to is silent", sent = true)
+        }
+        return serve(HostName("peer"), message)
+    }
+
+    /** Starts the daemon on host [number] of [place]. */
+    fun home(
+        number: Int,
+        place: String = "p1",
+    ): HomeDaemon {
+        val settings = settings("h$number", place, number)
+        val scope =
+            CoroutineScope(
+                test.backgroundScope.coroutineContext + SupervisorJob(test.backgroundScope.coroutineContext[Job]),
+            )
+        val daemon = HomeDaemon(settings, keys, exchange, ::engine, scope.coroutineContext, time)
+        daemons[settings.links] = daemon::serve
+        scopes[settings.links] = scope
+        scope.launch { daemon.run() }
+        return daemon
+    }
+
+    /** Ends the daemon at [address] as a kill does. */
+    fun kill(address: Address) {
+        daemons.remove(address)
+        scopes.remove(address)?.cancel()
+    }
+
+    /** Starts and registers a retainer. */
+    suspend fun retainer(
+        number: Int,
+        place: String = "p$number",
+        id: String = "r$number",
+    ): FakeRetainer {
+        val retainer = Retainer(RetainerId(id), HostName("s$number"), PlaceName(place), Address("10.1.0.$number", PORT))
+        val fake = FakeRetainer(retainer)
+        daemons[retainer.address] = fake::serve
+        assertIs<Write.Taken>(keys.put(RetainerKeys.key(retainer.id), RetainerKeys.encode(retainer), Revision.ABSENT))
+        return fake
+    }
+
+    /** Sends a turn to the home on host [number] and returns all replies. */
+    suspend fun turn(
+        number: Int,
+        name: String,
+        previous: String? = null,
+        program: String = "p",
+        budget: Long? = null,
+        previousAt: HomeAt? = null,
+    ): List<Message> = exchange(address(number), call(number, name, previous, program, budget, previousAt)).toList()
+
+    fun call(
+        number: Int,
+        name: String,
+        previous: String? = null,
+        program: String = "p",
+        budget: Long? = null,
+        previousAt: HomeAt? = null,
+    ) = RunTurn(
+        program = ProgramName(program),
+        turn = AttemptId(name),
+        previous = previous?.let(::AttemptId),
+        previousAt = previousAt,
+        isVerified = false,
+        target =
+            ListedUpstream(
+                UpstreamId("u$number"),
+                ServiceName("llm"),
+                engine(number),
+                PlaceName("p1"),
+                isLeaving = false,
+                slots = 2,
+            ),
+        targetHost = address(number),
+        engineSlots = 2,
+        tokensPerEvent = 10,
+        tokenBudget = budget,
+        mostTokens = 50,
+        promptTokens = 10,
+        priority = 0,
+        finishIn = null,
+        timeLeft = 3.seconds,
+        method = "POST",
+        path = "/a/b",
+        headers = emptyList(),
+        input = "in-$name;".encodeToByteArray(),
+    )
+
+    private fun engine(request: UpstreamRequest): Flow<AnswerEvent> =
+        flow {
+            val prompt = request.body.decodeToString()
+            val turn = prompt.substringAfterLast("in-").removeSuffix(";")
+            prompts[turn] = prompt
+            emit(AnswerEvent.Head(OK, listOf("X-Request-Id" to turn, "X-Server-Stamp" to "s")))
+            for ((id, data) in events.withIndex()) {
+                delay(work / events.size)
+                emit(AnswerEvent.Bytes("id: $id\ndata: $data\n\n".encodeToByteArray()))
+            }
+            emit(AnswerEvent.End(isFramed = true))
+        }
+
+    companion object {
+        private const val PORT = 7000
+        private const val OK = 200
+
+        fun address(number: Int) = Address("10.0.0.$number", PORT)
+
+        private fun engine(number: Int) = Address("10.0.0.$number", 8000)
+
+        /** The last reply of a turn. */
+        fun List<Message>.outcome(): String =
+            when (val last = last()) {
+                TurnWhole -> "whole"
+                is TurnBroke -> "broke"
+                is TurnRefused -> last.reason.name
+                else -> "none"
+            }
+
+        private fun settings(
+            name: String,
+            place: String,
+            number: Int,
+        ) = HostSettings(
+            name = HostName(name),
+            place = Place(PlaceName(place), RegionName(place)),
+            places = persistentMapOf(),
+            ip = address(number).ip,
+            firstPort = PORT,
+            lastPort = PORT,
+            callers = null,
+            readiness = null,
+            upstream = engine(number),
+            dataFolder = null,
+            bounds = PlatformBounds(2.5.seconds, 8.seconds, 2.5.seconds, 1.seconds),
+            store = StoreSettings(Address("10.9.0.1", 1), 400.0, 2000.0, 1 shl 20),
+            memoryMib = 256,
+            contracts = persistentListOf(),
+        )
+    }
+}
+
+/** A retainer that keeps records in memory. */
+internal class FakeRetainer(
+    val self: Retainer,
+) {
+    private val kept = HashMap<HomeId, TreeMap<Long, LogRecord>>()
+    private val ended = HashSet<HomeId>()
+
+    /** How many messages with records came. */
+    var messages = 0
+        private set
+
+    /** Records that are kept now. */
+    val count: Int get() = kept.values.sumOf { it.size }
+
+    fun serve(
+        @Suppress("UNUSED_PARAMETER") from: HostName,
+        message: Message,
+    ): Flow<Message> =
+        flowOf(
+            when (message) {
+                is AskRetainer -> if (message.retainer == self.id) Done else Declined("another folder")
+                is KeepRecords -> keep(message)
+                is EndHome -> {
+                    ended += message.home
+                    RecordsOf(message.home, kept[message.home]?.values?.toList().orEmpty())
+                }
+                is DropHome -> Done.also { kept.remove(message.home) }
+                else -> Unsupported
+            },
+        )
+
+    private fun keep(message: KeepRecords): Message {
+        if (message.retainer != self.id) return Declined("another folder")
+        if (message.home in ended) return Declined("the home has ended")
+        if (message.records.isNotEmpty()) messages++
+        val records = kept.getOrPut(message.home) { TreeMap() }
+        message.records.forEach { records[it.number] = it }
+        records.headMap(message.committed, true).clear()
+        return Done
+    }
+}
--- /dev/null
+++ b/turns/src/test/kotlin/sycamore/turns/TurnTableTest.kt
@@ -0,0 +1,171 @@
+package sycamore.turns
+
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import sycamore.routing.AttemptId
+import sycamore.routing.ProgramName
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertIs
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.TestTimeSource
+
+class TurnTableTest {
+    private val time = TestTimeSource()
+    private val table = TurnTable(time)
+    private val program = ProgramName("p")
+
+    private fun request(
+        turn: String,
+        previous: String? = null,
+        budget: Long? = 100,
+        most: Long = 40,
+        of: ProgramName = program,
+        isVerified: Boolean = false,
+    ) = TurnRequest(
+        of,
+        AttemptId(turn),
+        previous?.let(::AttemptId),
+        "in-$turn;".encodeToByteArray(),
+        budget,
+        most,
+        isVerified,
+    )
+
+    private fun start(request: TurnRequest) = table.start(request)
+
+    private fun finish(
+        turn: String,
+        tokens: Long = 10,
+        of: ProgramName = program,
+    ) = table.apply(TurnFinished(of, AttemptId(turn), "out-$turn\n".encodeToByteArray(), tokens))
+
+    @Test
+    fun `a prompt is the chain's inputs and outputs and then the new input`() {
+        start(request("a"))
+        finish("a")
+        start(request("b", "a"))
+        finish("b")
+        start(request("c", "b"))
+        assertEquals("in-a;out-a\nin-b;out-b\nin-c;", table.prompt(program, AttemptId("c")).decodeToString())
+    }
+
+    @Test
+    fun `several turns may continue the same one`() {
+        start(request("a"))
+        finish("a")
+        assertIs<TurnStart.Admitted>(start(request("b", "a")))
+        assertIs<TurnStart.Admitted>(start(request("c", "a")))
+        assertEquals("in-a;out-a\nin-c;", table.prompt(program, AttemptId("c")).decodeToString())
+    }
+
+    @Test
+    fun `a turn that is not whole cannot be continued`() {
+        start(request("a"))
+        assertEquals(TurnStart.NoSuchTurn, start(request("b", "a")))
+        table.apply(TurnBroken(program, AttemptId("a"), 10))
+        assertEquals(TurnStart.NoSuchTurn, start(request("c", "a")))
+        assertEquals(TurnStart.NoSuchTurn, start(request("d", "never")))
+    }
+
+    @Test
+    fun `turns under way hold the most that they may generate`() {
+        assertIs<TurnStart.Admitted>(start(request("a")))
+        assertIs<TurnStart.Admitted>(start(request("b")))
+        assertEquals(TurnStart.BudgetSpent(20), start(request("c")))
+        finish("a", tokens = 5)
+        assertIs<TurnStart.Admitted>(start(request("c")))
+        assertEquals(85, table.committedTokens(program))
+    }
+
+    @Test
+    fun `a turn that never reached an engine holds nothing`() {
+        start(request("a"))
+        table.withdraw(program, AttemptId("a"))
+        assertEquals(0, table.committedTokens(program))
+    }
+
+    @Test
+    fun `the same turn does not start twice`() {
+        start(request("a"))
+        assertEquals(TurnStart.Repeated, start(request("a")))
+    }
+
+    @Test
+    fun `a program may continue a turn of another one, whose budget is its own`() {
+        start(request("a"))
+        finish("a")
+        val other = ProgramName("q")
+        assertIs<TurnStart.Admitted>(start(request("b", "a", of = other)))
+        assertEquals("in-a;out-a\nin-b;", table.prompt(other, AttemptId("b")).decodeToString())
+        assertEquals(40, table.committedTokens(other))
+    }
+
+    @Test
+    fun `a program that spent its budget elsewhere begins here only once its home is certain`() {
+        table.markSpent(program)
+        assertEquals(TurnStart.Unverified, start(request("a")))
+        assertFalse(table.has(program))
+        assertIs<TurnStart.Admitted>(start(request("a", isVerified = true)))
+        assertIs<TurnStart.Admitted>(start(request("b")))
+    }
+
+    @Test
+    fun `a program that is refused at its first turn leaves nothing behind`() {
+        assertIs<TurnStart.BudgetSpent>(start(request("a", budget = 10)))
+        assertFalse(table.has(program))
+    }
+
+    @Test
+    fun `programs without turns under way are dropped when idle`() {
+        start(request("a"))
+        finish("a")
+        start(request("b", of = ProgramName("busy")))
+        time += 2.minutes
+        assertEquals(setOf(program), table.dropIdle(1.minutes))
+        assertNull(table.programWithWhole(AttemptId("a")))
+        assertTrue(table.has(ProgramName("busy")))
+    }
+
+    /** What a successor folds from the records may come from segments and retainers, twice and out of order. */
+    @Property(tries = 100, seed = "31")
+    fun `records in any order, some of them twice, give the same table`(
+        @ForAll seed: Long,
+    ) {
+        val random = Random(seed)
+        val records = randomRecords(random)
+        val inOrder = TurnTable(time).apply { records.forEach(::apply) }
+        val shuffled =
+            TurnTable(
+                time,
+            ).apply { (records + records.shuffled(random).take(5)).shuffled(random).forEach(::apply) }
+        assertEquals(inOrder.committedTokens(program), shuffled.committedTokens(program))
+        for (turn in records.filterIsInstance<TurnFinished>().map { it.turn }) {
+            assertEquals(inOrder.promptAfter(turn)!!.decodeToString(), shuffled.promptAfter(turn)?.decodeToString())
+        }
+    }
+
+    private fun randomRecords(random: Random): List<TurnRecord> {
+        val whole = ArrayList<AttemptId>()
+        return (0 until random.nextInt(1, 12)).flatMap { number ->
+            val turn = AttemptId("t$number")
+            val previous = whole.randomOrNull(random)
+            val started = TurnStarted(program, turn, previous, "i$number".encodeToByteArray(), reserved = 30)
+            val end =
+                when (random.nextInt(3)) {
+                    0 -> null
+                    1 -> TurnBroken(program, turn, random.nextLong(30))
+                    else ->
+                        TurnFinished(program, turn, "o$number".encodeToByteArray(), random.nextLong(30)).also {
+                            whole +=
+                                turn
+                        }
+                }
+            listOfNotNull(started, end)
+        }
+    }
+}
