Run the daemons in one process before stand-ins, for a test and one class archive

The archive of each role held only the classes of its start, so a restarted home loaded and compiled the rest while turns waited. The rehearsal serves turns and plain calls before the archive is taken.

--- a/deploy/archive.sh
+++ b/deploy/archive.sh
@@ -1,16 +1,9 @@
 #!/usr/bin/env bash
-# Makes an archive of the classes that each daemon loads, so that a restarted daemon serves sooner.
-# Each daemon is started on loopback with sample settings, and told to stop once it has loaded its classes.
+# Makes an archive of the classes that the daemons load, so that a restarted daemon serves sooner.
+# All daemons run in one process on loopback and serve a few turns; the JVM archives what they loaded.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-out="target/sycamore"
-for daemon in gateway homes retainer; do
-  SYCAMOREGW_NODE_FILE="deploy/rehearsal/$daemon.toml" \
-    java -XX:ArchiveClassesAtExit="$out/$daemon.jsa" -Xshare:auto -Xmx96m -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 \
-    -Dlogback.configurationFile=logback-platform.xml -cp "$out/lib/*" "sycamore.$daemon.MainKt" > "$out/$daemon.log" 2>&1 &
-  pids+=($!)
-done
-sleep 4
-kill "${pids[@]}"
-wait "${pids[@]}" || true
-ls "$out"/*.jsa > /dev/null
+java -XX:ArchiveClassesAtExit=target/sycamore/classes.jsa -Xshare:auto -Xmx256m -Xss256k -XX:+UseSerialGC \
+  -XX:TieredStopAtLevel=1 -Dlogback.configurationFile=logback-platform.xml \
+  -cp "target/sycamore/lib/*" sycamore.rehearsal.MainKt > target/sycamore/rehearsal.log 2>&1
+ls target/sycamore/classes.jsa > /dev/null
--- /dev/null
+++ b/rehearsal/src/main/kotlin/sycamore/rehearsal/Main.kt
@@ -0,0 +1,20 @@
+package sycamore.rehearsal
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.runBlocking
+import java.nio.file.Files
+import kotlin.system.exitProcess
+
+/** Runs a [Rehearsal], so that the JVM loads the classes that the daemons need and can archive them. */
+fun main() {
+    val folder = Files.createTempDirectory("rehearsal")
+    val result = runBlocking { Rehearsal(CoroutineScope(Dispatchers.Default + SupervisorJob()), folder).run(TURNS) }
+    println("rehearsal: $result".take(MAX_LINE))
+    folder.toFile().deleteRecursively()
+    exitProcess(if (result.wholeTurns == TURNS && result.wholeCalls == TURNS) 0 else 1)
+}
+
+private const val TURNS = 20
+private const val MAX_LINE = 200
--- a/retainer/src/main/kotlin/sycamore/retainer/RetainerDaemon.kt
+++ b/retainer/src/main/kotlin/sycamore/retainer/RetainerDaemon.kt
@@ -1,10 +1,14 @@
 package sycamore.retainer
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.flow
 import kotlinx.coroutines.flow.flowOf
+import kotlinx.coroutines.launch
+import sycamore.daemon.Threads
+import sycamore.forwarding.PlatformDaemon
 import sycamore.links.AskRetainer
 import sycamore.links.Declined
 import sycamore.links.Done
@@ -26,12 +30,13 @@
 import sycamore.services.watch
 import sycamore.turns.Retainer
 import sycamore.turns.RetainerKeys
+import java.nio.file.Path
 import kotlin.time.Duration.Companion.milliseconds
 
 private val log = KotlinLogging.logger {}
 
 /** The daemon on a host with a disk: keeps records of homes until they are committed. */
-internal class RetainerDaemon(
+class RetainerDaemon internal constructor(
     private val settings: HostSettings,
     private val folder: RecordFolder,
     private val keys: KeyValue,
@@ -138,7 +143,23 @@
         }
     }
 
-    private companion object {
-        val RETRY = 200.milliseconds
+    companion object {
+        private val RETRY = 200.milliseconds
+
+        /** Starts the daemon with its data in [folder]; it works until [scope] is cancelled. */
+        suspend fun start(
+            settings: HostSettings,
+            folder: Path,
+            runtime: PlatformDaemon,
+            scope: CoroutineScope,
+        ): RetainerDaemon {
+            val records = RecordFolder(folder)
+            val daemon = RetainerDaemon(settings, records, runtime.keys)
+            scope.launch(Threads.blocking) { records.run() }
+            runtime.serveLinks(daemon::serve)
+            scope.launch { daemon.register() }
+            scope.launch { daemon.followRetirements() }
+            return daemon
+        }
     }
 }
