Serve counters and latency histograms, and read the settings again on SIGHUP

Each daemon serves its meters at the port of its command line, three seconds after its start, so that they take no processor time from callers who wait for it. The histogram of the entry daemon is now the one of all daemons. On SIGHUP the settings are read again: the times of a stop are in force at once, and the line says whether other fields differ, which need a restart. Refusals before a route is known are counted and logged alike.

--- a/daemon/src/main/kotlin/sycamore/daemon/Metrics.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/Metrics.kt
@@ -1,6 +1,8 @@
 package sycamore.daemon
 
+import io.micrometer.core.instrument.FunctionCounter
 import io.micrometer.core.instrument.MeterRegistry
+import io.micrometer.core.instrument.Timer
 import io.micrometer.core.instrument.binder.jvm.JvmGcMetrics
 import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics
 import io.micrometer.core.instrument.binder.jvm.JvmThreadMetrics
@@ -8,6 +10,11 @@
 import io.micrometer.core.instrument.binder.system.UptimeMetrics
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import sycamore.daemon.log.LineBudget
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.toJavaDuration
 
 /** The metrics of a daemon, in the text format of Prometheus. */
 class Metrics {
@@ -18,12 +25,18 @@
 
     /** Adds the meters that every daemon has: those of the JVM, and of the configuration in force. */
     fun bindProcess(inForce: InForce) {
+        bindRuntime()
+        prometheus.gauge(GENERATION, inForce) { it.generation.value.toDouble() }
+    }
+
+    /** Adds the meters of the JVM and the count of log lines that were left out. */
+    fun bindRuntime() {
+        FunctionCounter.builder(OMITTED, this) { LineBudget.omittedLines.toDouble() }.register(prometheus)
         JvmMemoryMetrics().bindTo(prometheus)
         JvmThreadMetrics().bindTo(prometheus)
         ProcessorMetrics().bindTo(prometheus)
         UptimeMetrics().bindTo(prometheus)
         JvmGcMetrics().bindTo(prometheus)
-        prometheus.gauge(GENERATION, inForce) { it.generation.value.toDouble() }
     }
 
     /** Adds the time at which the certificate of [tls] expires, in seconds since 1970. */
@@ -37,5 +50,36 @@
     private companion object {
         const val GENERATION = "sycamore.generation"
         const val EXPIRY = "sycamore.tls.certificate.expiry.seconds"
+        const val OMITTED = "sycamore.log.lines.omitted"
     }
 }
+
+/** Records [time] in the histogram [name] with [tags], which are names and values in turn. */
+fun MeterRegistry.recordLatency(
+    name: String,
+    time: Duration,
+    vararg tags: String,
+) = Timer
+    .builder(name)
+    .tags(*tags)
+    .serviceLevelObjectives(*LATENCY_BOUNDS)
+    .register(this)
+    .record(time.toJavaDuration())
+
+/** Upper bounds of the buckets: from a call within a data centre up to the longest turn. */
+private val LATENCY_BOUNDS =
+    listOf(
+        5.milliseconds,
+        10.milliseconds,
+        25.milliseconds,
+        50.milliseconds,
+        100.milliseconds,
+        250.milliseconds,
+        500.milliseconds,
+        850.milliseconds,
+        2.seconds,
+        5.seconds,
+        10.seconds,
+        30.seconds,
+        60.seconds,
+    ).map { it.toJavaDuration() }.toTypedArray()
--- a/daemon/src/main/kotlin/sycamore/daemon/Stop.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/Stop.kt
@@ -15,13 +15,13 @@
 
     /**
      * Runs [steps] when the process is asked to end, then ends it: with exit code 0, or 1 if they did not end within
-     * [limit] or failed.
+     * [limit] or failed. The limit is asked for when the stop begins.
      */
     fun onRequest(
-        limit: Duration = LIMIT,
+        limit: () -> Duration = { LIMIT },
         steps: suspend () -> Unit,
     ) {
-        val hook = Thread({ Runtime.getRuntime().halt(run(limit, steps)) }, "stop")
+        val hook = Thread({ Runtime.getRuntime().halt(run(limit(), steps)) }, "stop")
         Runtime.getRuntime().addShutdownHook(hook)
     }
 
--- a/entry/src/main/kotlin/sycamore/entry/EntryMeters.kt
+++ b/entry/src/main/kotlin/sycamore/entry/EntryMeters.kt
@@ -3,16 +3,12 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.github.oshai.kotlinlogging.Level
 import io.micrometer.core.instrument.MeterRegistry
-import io.micrometer.core.instrument.Timer
 import org.http4k.core.Response
 import sycamore.daemon.log.About
 import sycamore.daemon.log.at
+import sycamore.daemon.recordLatency
 import sycamore.programs.Outcome
 import java.util.concurrent.atomic.AtomicInteger
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
-import kotlin.time.toJavaDuration
 
 private val log = KotlinLogging.logger {}
 
@@ -35,8 +31,8 @@
         inProgress.decrementAndGet()
         val outcome = trace.outcome(response)
         val service = trace.call?.service?.value ?: NO_SERVICE
-        record(REQUESTS, trace.elapsed, "service", service, "outcome", outcome)
-        trace.firstPart?.let { record(FIRST_PART, it, "service", service) }
+        registry.recordLatency(REQUESTS, trace.elapsed, "service", service, "outcome", outcome)
+        trace.firstPart?.let { registry.recordLatency(FIRST_PART, it, "service", service) }
         if (outcome != RequestTrace.ANSWERED) refused(response, service, outcome)
         write(trace, response, outcome)
     }
@@ -50,17 +46,6 @@
         registry.counter(REFUSALS, "service", service, "outcome", outcome, "status", status).increment()
     }
 
-    private fun record(
-        name: String,
-        time: Duration,
-        vararg tags: String,
-    ) = Timer
-        .builder(name)
-        .tags(*tags)
-        .serviceLevelObjectives(*bounds)
-        .register(registry)
-        .record(time.toJavaDuration())
-
     private fun write(
         trace: RequestTrace,
         response: Response,
@@ -93,22 +78,5 @@
                 Outcome.UNKNOWN.text to Level.WARN,
                 RequestTrace.CUT_OFF to Level.WARN,
             )
-
-        val bounds =
-            listOf(
-                5.milliseconds,
-                10.milliseconds,
-                25.milliseconds,
-                50.milliseconds,
-                100.milliseconds,
-                250.milliseconds,
-                500.milliseconds,
-                850.milliseconds,
-                2.seconds,
-                5.seconds,
-                10.seconds,
-                30.seconds,
-                60.seconds,
-            ).map { it.toJavaDuration() }.toTypedArray()
     }
 }
--- a/forwarding/src/main/kotlin/sycamore/forwarding/PlatformDaemon.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/PlatformDaemon.kt
@@ -1,15 +1,29 @@
 package sycamore.forwarding
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.cli.ArgType
+import kotlinx.cli.default
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
 import sun.misc.Signal
+import sycamore.daemon.Http
+import sycamore.daemon.HttpLimits
+import sycamore.daemon.Metrics
 import sycamore.daemon.Program
 import sycamore.daemon.Stop
 import sycamore.daemon.Threads
+import sycamore.daemon.bindKeyValue
 import sycamore.daemon.log.LogContext
+import sycamore.daemon.log.event
+import sycamore.daemon.log.warning
 import sycamore.links.LinkBounds
 import sycamore.links.LinkClient
 import sycamore.links.LinkServer
 import sycamore.links.Serve
+import sycamore.model.Address
 import sycamore.model.Checked
 import sycamore.platform.HostSettings
 import sycamore.platform.StoreKeyValue
@@ -24,6 +38,12 @@
 class PlatformDaemon(
     private val settings: HostSettings,
 ) {
+    /** Counts and latencies of this process. */
+    val metrics = Metrics()
+
+    @Volatile
+    private var bounds = settings.bounds
+
     /** The platform's store. */
     val keys =
         keyValueClient(
@@ -41,10 +61,52 @@
     init {
         LogContext.host(settings.name)
         // The platform tells by SIGHUP that the settings file has changed; the JVM would end at it.
-        Signal.handle(Signal("HUP")) { log.info { "the settings file may have changed" } }
-        log.info { "daemon ${settings.name} starts in ${settings.place.name}" }
+        Signal.handle(Signal("HUP")) { reload() }
+        log.event(
+            "daemon-starts",
+            "version" to Program.VERSION,
+            "place" to settings.place.name,
+            "region" to settings.place.region,
+            "links" to settings.links,
+            "store" to settings.store.address,
+        )
+    }
+
+    /** Times of a stop are in force at once; addresses are used from the start of the process to its end. */
+    private fun reload() {
+        when (val read = read()) {
+            is Checked.Invalid -> log.warning("settings-not-read", "findings" to read.findings.joinToString("; "))
+            is Checked.Valid -> {
+                bounds = read.value.bounds
+                val needsRestart = read.value.copy(bounds = settings.bounds) != settings
+                log.event("settings-read", "bounds" to bounds, "needs_restart" to needsRestart)
+            }
+        }
     }
 
+    /**
+     * Serves the metrics on [port] of this host until cancelled. They begin after the daemon's first seconds, in which
+     * callers wait for it.
+     */
+    suspend fun serveMetrics(port: Int) {
+        delay(METRICS_DELAY)
+        metrics.bindRuntime()
+        metrics.bindKeyValue(keys.counts)
+        val server = Http.serve(Address(settings.ip, port), ::answerMetrics, METRICS_LIMITS)
+        try {
+            awaitCancellation()
+        } finally {
+            server.stop()
+        }
+    }
+
+    private fun answerMetrics(request: Request): Response =
+        if (request.uri.path == METRICS_PATH) {
+            Response(Status.OK).header("content-type", "text/plain; version=0.0.4").body(metrics.scrape())
+        } else {
+            Response(Status.NOT_FOUND).body("expected $METRICS_PATH, found ${request.uri.path}\n")
+        }
+
     /** Accepts links of other daemons. */
     suspend fun serveLinks(serve: Serve): LinkServer =
         Program.listeningOn(settings.links) {
@@ -52,9 +114,21 @@
         }
 
     /** Runs [steps] when the platform asks the process to end. */
-    fun onStop(steps: suspend () -> Unit) = Stop.onRequest(settings.bounds.grace - STOP_RESERVE, steps)
+    fun onStop(steps: suspend () -> Unit) = Stop.onRequest({ bounds.grace - STOP_RESERVE }, steps)
 
     companion object {
+        private const val METRICS_PATH = "/metrics"
+
+        /** The port that exporters of OpenTelemetry use by custom; no other process of a host serves it. */
+        private const val METRICS_PORT = 9464
+        private val PORTS = 1..65_535
+
+        /** A daemon serves callers within two seconds of its start; the meters of the JVM take processor time then. */
+        private val METRICS_DELAY = 3.seconds
+
+        /** Metrics are read by one or two scrapers. */
+        private val METRICS_LIMITS = HttpLimits(requests = 4, connections = 8)
+
         /** The store answers in milliseconds; a call that takes this long has lost its connection or its answer. */
         private val STORE_TIMEOUT = 2.seconds
 
@@ -73,15 +147,33 @@
                 write = 2.seconds,
             )
 
+        /** The port for metrics that the command line [args] of the binary [name] names. */
+        fun metricsPort(
+            name: String,
+            args: Array<String>,
+        ): Int {
+            val parser = Program.parser(name, args)
+            val port by parser
+                .option(ArgType.Int, "metrics-port", "m", "port at which metrics are read")
+                .default(METRICS_PORT)
+            parser.parse(args)
+            if (port !in PORTS) Program.fail(Program.EXIT_MISUSE, "$name: expected a port in $PORTS, found $port")
+            return port
+        }
+
         /** Reads the settings of the binary [name], or ends the process with every finding. */
         fun settings(name: String): HostSettings {
-            val path = System.getenv(HostSettings.PATH_VARIABLE) ?: HostSettings.DEFAULT_PATH
-            val file = File(path)
-            if (!file.isFile) Program.fail(Program.EXIT_MISUSE, "$name: expected a settings file at $path, found none")
-            return when (val checked = HostSettings.read(path, file.readText())) {
+            if (!file().isFile) {
+                Program.fail(Program.EXIT_MISUSE, "$name: expected a settings file at ${file()}, found none")
+            }
+            return when (val checked = read()) {
                 is Checked.Valid -> checked.value
                 is Checked.Invalid -> Program.fail(Program.EXIT_FAILED, checked.findings.joinToString("\n"))
             }
         }
+
+        private fun file() = File(System.getenv(HostSettings.PATH_VARIABLE) ?: HostSettings.DEFAULT_PATH)
+
+        private fun read(): Checked<HostSettings> = HostSettings.read(file().path, file().readText())
     }
 }
--- a/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
@@ -1,6 +1,7 @@
 package sycamore.gateway
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.micrometer.core.instrument.MeterRegistry
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
@@ -36,8 +37,10 @@
     keys: KeyValue,
     exchange: Exchange,
     callUpstream: CallUpstream,
+    registry: MeterRegistry,
     private val time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
 ) {
+    private val meters = CallMeters(registry)
     private val routes = RoutesInForce(keys)
     private val upstreams = UpstreamDirectory(keys, time)
 
@@ -46,7 +49,7 @@
     private val homeList = HomeList(keys)
     private val homes = ProgramHomes(settings.place.name, board, homeList, exchange, background, time)
     private val plain = PlainCalls(upstreams, UpstreamLoads(settings.place.name, time), callUpstream)
-    private val turns = TurnCalls(settings.place.name, homes, board, ::engine, exchange, time)
+    private val turns = TurnCalls(settings.place.name, homes, board, ::engine, exchange, meters, time)
 
     /** Whether callers may be sent here. */
     val isReady: Boolean get() = routes.table.value != null && upstreams.isRead
@@ -75,42 +78,54 @@
         val head = CallHeaders.decode(caller.headers)
         val table = routes.table.value
         if (table == null) {
-            log.event(
-                "call-refused",
-                "request" to head.id,
-                "status" to OwnAnswer.NOT_RUN.status,
-                "detail" to "no configuration",
-            )
+            refused(head, OwnAnswer.NOT_RUN, "no configuration is known yet")
             return caller.answer(OwnAnswer.NOT_RUN, "no configuration is known yet", head.id, START_RETRY)
         }
         val route = table.find(caller.host, caller.target)
         if (route == null) {
-            log.event(
-                "call-refused",
-                "request" to head.id,
-                "status" to OwnAnswer.NOT_FOUND.status,
-                "detail" to "no route for ${caller.host}${caller.target}",
-                "version" to table.generation,
-            )
+            refused(head, OwnAnswer.NOT_FOUND, "no route for ${caller.host}${caller.target}", table.generation)
             return caller.answer(OwnAnswer.NOT_FOUND, "no such route", head.id)
         }
-        if (head.id == null) return caller.answer(OwnAnswer.BAD_REQUEST, "expected a request id, found none", null)
+        if (head.id == null) {
+            refused(head, OwnAnswer.BAD_REQUEST, "expected a request id, found none", table.generation)
+            return caller.answer(OwnAnswer.BAD_REQUEST, "expected a request id, found none", null)
+        }
         val body =
             try {
                 caller.readBody(table.limits.bodyBytes)
             } catch (e: BodyTooLargeException) {
+                refused(head, OwnAnswer.TOO_LARGE, e.message!!, table.generation)
                 return caller.answer(OwnAnswer.TOO_LARGE, e.message!!, head.id)
             }
         val job = currentCoroutineContext().job
         caller.watchCaller { job.cancel() }
         val call = accept(caller, route, head, body, arrived)
+        meters.begin()
         try {
             serve(caller, call)
         } finally {
+            meters.end(route, caller.status, caller.cutReason != null, arrived.elapsedNow())
             logEnd(caller, call, table.generation, arrived)
         }
     }
 
+    /** A request is refused before it is known which route it takes. */
+    private fun refused(
+        head: CallerHead,
+        answer: OwnAnswer,
+        detail: String,
+        generation: Generation? = null,
+    ) {
+        meters.refuse(answer.status)
+        log.event(
+            "call-refused",
+            "request" to head.id,
+            "status" to answer.status,
+            "detail" to detail,
+            "version" to generation,
+        )
+    }
+
     private fun logEnd(
         caller: CallerExchange,
         call: AcceptedCall,
--- a/gateway/src/main/kotlin/sycamore/gateway/Main.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/Main.kt
@@ -15,15 +15,18 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Runs the daemon that serves callers of the platform. */
-fun main() {
+fun main(args: Array<String>) {
+    val metricsPort = PlatformDaemon.metricsPort("sycamore-gateway", args)
     val settings = PlatformDaemon.settings("sycamore-gateway")
     val callers = settings.callers ?: Program.fail(Program.EXIT_MISUSE, "expected an address for callers, found none")
     val readiness =
         settings.readiness ?: Program.fail(Program.EXIT_MISUSE, "expected an address for readiness, found none")
     Program.daemon("sycamore-gateway") {
         val runtime = PlatformDaemon(settings)
-        val gateway = Gateway(settings, runtime.keys, runtime.links::exchange, UpstreamClient()::exchange)
+        val registry = runtime.metrics.registry
+        val gateway = Gateway(settings, runtime.keys, runtime.links::exchange, UpstreamClient()::exchange, registry)
         launch { gateway.run() }
+        launch { runtime.serveMetrics(metricsPort) }
         val server = CallerServer(callers, gateway::limits, Dispatchers.Default, gateway::serve).start()
         var isLeaving = false
         Http.serve(
--- a/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
@@ -35,6 +35,7 @@
     private val board: GateBoard,
     private val engines: (AcceptedCall) -> EngineProfile?,
     private val exchange: Exchange,
+    private val meters: CallMeters,
     private val time: TimeSource,
 ) {
     /** Serves [call], a turn of [program] named [turn]. */
@@ -150,12 +151,14 @@
                 Sent.Again -> false
                 is Sent.Elsewhere -> {
                     lastReason = sent.reason
+                    meters.sendAgain("refused")
                     log.event("turn-sent-elsewhere", "request" to turn, "home" to home.home, "detail" to sent.reason)
                     delay(PAUSE)
                     false
                 }
                 is Sent.Unreachable -> {
                     lastReason = sent.reason
+                    meters.sendAgain("unreachable")
                     log.event("home-unreachable", "request" to turn, "home" to home.home, "detail" to sent.reason)
                     board.lost(home.address)
                     if (homes.known(program) == home) {
--- a/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
@@ -1,6 +1,7 @@
 package sycamore.homes
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.micrometer.core.instrument.MeterRegistry
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -14,6 +15,7 @@
 import kotlinx.coroutines.flow.flowOf
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import sycamore.daemon.log.event
 import sycamore.forwarding.CallUpstream
 import sycamore.links.AskGate
 import sycamore.links.AskPrompt
@@ -57,14 +59,16 @@
     private val keys: KeyValue,
     private val exchange: Exchange,
     callUpstream: CallUpstream,
+    registry: MeterRegistry,
     context: CoroutineContext,
     private val time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
 ) {
     private val scope = CoroutineScope(context + SupervisorJob(context[Job]) + CoroutineExceptionHandler(::failed))
+    private val meters = TurnMeters(registry)
     private val gate = EngineGate(time)
     private val gates = GateRunner(settings.upstream, gate, callUpstream, exchange, time)
     private val retainers = RetainerDirectory(keys, settings.place.name, exchange, time) { home.journal.check() }
-    private val takeovers = HomeTakeovers(keys, exchange, scope, time) { home }
+    private val takeovers = HomeTakeovers(keys, exchange, scope, meters, time) { home }
     private val spent = SpentPrograms(keys, scope)
     private val turns = AtomicInteger()
 
@@ -95,6 +99,9 @@
 
     /** Does the daemon's background work until cancelled. */
     suspend fun run() {
+        meters.show(TurnMeters.RUNNING) { gate.running }
+        meters.show(TurnMeters.WAITING) { gate.waiting }
+        meters.show(TurnMeters.PROGRAMS) { home.table.size }
         scope.launch { retainers.run() }
         while (!isLeaving) {
             val current = home
@@ -130,7 +137,7 @@
         }
         turns.incrementAndGet()
         try {
-            emitAll(TurnRunner(home, gates::send, exchange, spent, time).run(call))
+            emitAll(TurnRunner(home, gates::send, exchange, spent, meters, time).run(call))
         } finally {
             turns.decrementAndGet()
         }
@@ -164,6 +171,7 @@
                     null
                 }
             if (reply is HomeTaken) {
+                log.event("home-handed-over", "home" to current.id, "successor" to reply.successor.home)
                 current.journal.end(reply.successor.home)
                 return
             }
--- a/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
@@ -51,6 +51,7 @@
     private val keys: KeyValue,
     private val exchange: Exchange,
     private val scope: CoroutineScope,
+    private val meters: TurnMeters,
     private val time: TimeSource,
     private val self: () -> TurnHome,
 ) {
@@ -165,6 +166,7 @@
             home.journal.requireAlive()
             delay(RETRY)
         }
+        meters.takeOver(began.elapsedNow())
         log.event(
             "home-taken-over",
             "lost" to lost.home,
--- a/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
@@ -39,6 +39,7 @@
     private val send: SendPrompt,
     private val exchange: Exchange,
     private val spent: SpentPrograms,
+    private val meters: TurnMeters,
     private val time: TimeSource,
 ) {
     /** Runs [call], unless it is refused. */
@@ -82,6 +83,7 @@
         reason: TurnRefusal,
         detail: String,
     ) {
+        meters.refuse(reason.name.lowercase())
         log.event(
             "turn-refused",
             "request" to call.turn,
@@ -149,6 +151,7 @@
                 last = TurnBroke("the engine's answer ends within an event")
             } finally {
                 if (!isEnded) breakOff(last)
+                meters.end(outcome(last), arrived.elapsedNow())
                 logEnd(last)
             }
             replies.emit(last)
@@ -184,7 +187,7 @@
                     start = home.journal.append(record)
                 }
                 is TurnBegun -> {
-                    begunAfter = arrived.elapsedNow()
+                    begunAfter = arrived.elapsedNow().also(meters::begin)
                     isSuccess = message.status in SUCCESSES
                     pass(message)
                 }
--- a/homes/src/test/kotlin/sycamore/homes/HomeFixture.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeFixture.kt
@@ -1,5 +1,6 @@
 package sycamore.homes
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.coroutines.CoroutineScope
@@ -109,7 +110,7 @@
             CoroutineScope(
                 test.backgroundScope.coroutineContext + SupervisorJob(test.backgroundScope.coroutineContext[Job]),
             )
-        val daemon = HomeDaemon(settings, keys, exchange, ::engine, scope.coroutineContext, time)
+        val daemon = HomeDaemon(settings, keys, exchange, ::engine, SimpleMeterRegistry(), scope.coroutineContext, time)
         daemons[settings.links] = daemon::serve
         scopes[settings.links] = scope
         scope.launch { daemon.run() }
--- a/rehearsal/src/main/kotlin/sycamore/rehearsal/Rehearsal.kt
+++ b/rehearsal/src/main/kotlin/sycamore/rehearsal/Rehearsal.kt
@@ -101,6 +101,7 @@
                 runtime.keys,
                 runtime.links::exchange,
                 UpstreamClient()::exchange,
+                runtime.metrics.registry,
                 scope.coroutineContext,
             )
         runtime.serveLinks(daemon::serve)
@@ -110,7 +111,14 @@
     private fun startGateway() {
         val settings = settings("g1", home)
         val runtime = PlatformDaemon(settings)
-        val gateway = Gateway(settings, runtime.keys, runtime.links::exchange, UpstreamClient()::exchange)
+        val gateway =
+            Gateway(
+                settings,
+                runtime.keys,
+                runtime.links::exchange,
+                UpstreamClient()::exchange,
+                runtime.metrics.registry,
+            )
         scope.launch { gateway.run() }
         CallerServer(callers, gateway::limits, Dispatchers.Default, gateway::serve).start()
     }
--- a/retainer/src/main/kotlin/sycamore/retainer/Main.kt
+++ b/retainer/src/main/kotlin/sycamore/retainer/Main.kt
@@ -1,18 +1,21 @@
 package sycamore.retainer
 
 import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.launch
 import sycamore.daemon.Program
 import sycamore.forwarding.PlatformDaemon
 import java.nio.file.Path
 
 /** Runs the daemon on a host with a disk. */
-fun main() {
+fun main(args: Array<String>) {
+    val metricsPort = PlatformDaemon.metricsPort("sycamore-retainer", args)
     val settings = PlatformDaemon.settings("sycamore-retainer")
     val path =
         settings.dataFolder ?: Program.fail(Program.EXIT_MISUSE, "expected a data folder in the settings, found none")
     Program.daemon("sycamore-retainer") {
         val runtime = PlatformDaemon(settings)
         RetainerDaemon.start(settings, Path.of(path), runtime, this)
+        launch { runtime.serveMetrics(metricsPort) }
         runtime.onStop {}
         awaitCancellation()
     }
--- a/retainer/src/main/kotlin/sycamore/retainer/RecordFolder.kt
+++ b/retainer/src/main/kotlin/sycamore/retainer/RecordFolder.kt
@@ -56,6 +56,11 @@
         rewrite()
     }
 
+    /** Records that are kept. */
+    @Volatile
+    var count = 0
+        private set
+
     /** Applies [change] and returns what is kept of its home then; null if the home has ended and it is not kept. */
     suspend fun apply(change: RecordChange): List<LogRecord>? {
         val entry = Waiting(change)
@@ -81,6 +86,7 @@
         }
         taken.forEach { records.apply(it.change) }
         kept = records.kept
+        count = records.count
         refused.forEach { it.done.complete(null) }
         taken.forEach { it.done.complete(if (it.change is HomeFenced) records.of(it.change.home) else emptyList()) }
         if (file.size > MAX_FILE_BYTES) rewrite()
--- a/retainer/src/main/kotlin/sycamore/retainer/RetainerDaemon.kt
+++ b/retainer/src/main/kotlin/sycamore/retainer/RetainerDaemon.kt
@@ -145,6 +145,7 @@
 
     companion object {
         private val RETRY = 200.milliseconds
+        private const val RECORDS = "sycamore.retainer.records"
 
         /** Starts the daemon with its data in [folder]; it works until [scope] is cancelled. */
         suspend fun start(
@@ -155,6 +156,7 @@
         ): RetainerDaemon {
             val records = RecordFolder(folder)
             val daemon = RetainerDaemon(settings, records, runtime.keys)
+            runtime.metrics.registry.gauge(RECORDS, records) { it.count.toDouble() }
             scope.launch(Threads.blocking) { records.run() }
             runtime.serveLinks(daemon::serve)
             scope.launch { daemon.register() }
