Tell retainers that are named no more what they need not keep

Homes named other retainers at once and committed what it kept, but only named retainers were told so. Ruled out: a lost status (nothing was written) and the outage of the store (over 4 s before). Change: a home tells each former retainer once everything it got is committed; a retainer that is to be emptied also drops homes whose programs are in the log of their successor, since such a message may be lost. What is committed is also written to the retainer's file, without a sync: a restarted retainer kept it once more.

--- a/homes/src/main/kotlin/sycamore/homes/RecordRetention.kt
+++ b/homes/src/main/kotlin/sycamore/homes/RecordRetention.kt
@@ -64,6 +64,7 @@
     /** Works until the home has ended or the caller is cancelled. */
     suspend fun run() {
         coroutineScope {
+            val scope = this
             launch {
                 combine(
                     keepers,
@@ -71,8 +72,34 @@
                 ) { kept, committed -> safeUpTo(kept, committed) }.collect(::raise)
             }
             launch { watchLate() }
-            journal.named.collectLatest { named -> serve(named) }
+            journal.named.collectLatest { named ->
+                // What the retainers got is no longer changing: those that sent to them have ended.
+                val last = journal.last.value
+                dropped(named).forEach { scope.launch { release(it, last) } }
+                serve(named)
+            }
+        }
+    }
+
+    private fun dropped(named: List<Retainer>): List<Retainer> {
+        val kept = named.map { it.id }.toSet()
+        return keepers.value.map { it.retainer }.filter { it.id !in kept }
+    }
+
+    /** Tells [former], which is not named any more, to keep nothing, once all up to [last] is committed. */
+    private suspend fun release(
+        former: Retainer,
+        last: Long,
+    ) {
+        journal.committed.first { it >= last || journal.ended.isCompleted }
+        repeat(RELEASE_ATTEMPTS) {
+            val isNamed = journal.named.value.any { it.id == former.id }
+            if (isNamed || journal.ended.isCompleted) return
+            val committed = journal.committed.value
+            if (ask(former, KeepRecords(former.id, journal.home, committed, emptyList())) != null) return
+            delay(TELL_PERIOD)
         }
+        log.info { "former retainer ${former.host} of ${journal.home} did not answer" }
     }
 
     private fun raise(number: Long) = safe.update { maxOf(it, number) }
@@ -198,6 +225,9 @@
         private val ASK_LIMIT = 1.seconds
         private val RETRY = 100.milliseconds
 
+        /** A retainer that does not answer for this many periods is gone, or its host was replaced. */
+        private const val RELEASE_ATTEMPTS = 30
+
         /** How often retainers learn what they need not keep any more, when nothing else is sent. */
         private val TELL_PERIOD = 1.seconds
     }
--- a/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
@@ -267,6 +267,21 @@
         }
 
     /** All adopted records went to the retainers in one message, again and again (LOST, RECOVER on standard days). */
+
+    /** A host with a disk was never emptied (a duty missed on trouble-1), since it kept what was long committed. */
+    @Test
+    fun `a retainer that leaves keeps nothing of a home once that is committed`() =
+        home(retainers = 0) { fixture ->
+            val first = fixture.retainer(1)
+            repeat(3) { fixture.retainer(it + 2) }
+            fixture.start(1)
+            assertEquals("whole", fixture.turn(1, "a").outcome())
+            assertTrue(first.count > 0, "expected records at the nearest retainer")
+            fixture.leave(first)
+            delay(5.seconds)
+            assertEquals(0, first.count)
+        }
+
     @Test
     fun `records of a home that was taken over are not sent to retainers`() =
         home { fixture ->
--- a/homes/src/test/kotlin/sycamore/homes/HomeFixture.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeFixture.kt
@@ -49,6 +49,8 @@
 import sycamore.routing.ListedUpstream
 import sycamore.routing.ProgramName
 import sycamore.routing.UpstreamId
+import sycamore.services.Item
+import sycamore.services.Read
 import sycamore.services.Revision
 import sycamore.services.Write
 import sycamore.standins.FaultyKeyValue
@@ -136,6 +138,14 @@
         return fake
     }
 
+    /** [retainer] takes no more records, and says so in its registration. */
+    suspend fun leave(retainer: FakeRetainer) {
+        retainer.isLeaving = true
+        val key = RetainerKeys.key(retainer.self.id)
+        val version = assertIs<Read.Found<Item?>>(keys.get(key)).value!!.version
+        assertIs<Write.Taken>(keys.put(key, RetainerKeys.encode(retainer.self.copy(isLeaving = true)), version))
+    }
+
     /** Sends a turn to the home on host [number] and returns all replies. */
     suspend fun turn(
         number: Int,
@@ -243,6 +253,9 @@
     private val kept = HashMap<HomeId, TreeMap<Long, LogRecord>>()
     private val ended = HashSet<HomeId>()
 
+    /** Whether it takes no more records. */
+    var isLeaving = false
+
     /** How many messages with records came. */
     var messages = 0
         private set
@@ -270,6 +283,7 @@
     private fun keep(message: KeepRecords): Message {
         if (message.retainer != self.id) return Declined("another folder")
         if (message.home in ended) return Declined("the home has ended")
+        if (isLeaving && message.records.isNotEmpty()) return Declined("the host is leaving")
         if (message.records.isNotEmpty()) messages++
         val records = kept.getOrPut(message.home) { TreeMap() }
         message.records.forEach { records[it.number] = it }
--- a/retainer/src/main/kotlin/sycamore/retainer/RecordFolder.kt
+++ b/retainer/src/main/kotlin/sycamore/retainer/RecordFolder.kt
@@ -79,11 +79,9 @@
 
     private fun write(batch: List<Waiting>) {
         val (refused, taken) = batch.partition { it.change is RecordsKept && records.isFenced(it.change.home) }
-        val lasting = taken.filter { it.change !is RecordsKept || it.change.records.isNotEmpty() }
-        if (lasting.isNotEmpty()) {
-            file.append(lasting.map { it.change })
-            file.sync()
-        }
+        if (taken.isNotEmpty()) file.append(taken.map { it.change })
+        // That records are committed may be lost: they are then kept for longer.
+        if (taken.any { it.change !is RecordsKept || it.change.records.isNotEmpty() }) file.sync()
         taken.forEach { records.apply(it.change) }
         kept = records.kept
         count = records.count
--- a/retainer/src/main/kotlin/sycamore/retainer/RetainerDaemon.kt
+++ b/retainer/src/main/kotlin/sycamore/retainer/RetainerDaemon.kt
@@ -28,6 +28,7 @@
 import sycamore.services.Watched
 import sycamore.services.Write
 import sycamore.services.watch
+import sycamore.turns.HomeKeys
 import sycamore.turns.Retainer
 import sycamore.turns.RetainerKeys
 import java.nio.file.Path
@@ -126,11 +127,25 @@
         isLeaving = true
         status(isDone = false)
         write(self.copy(isLeaving = true))
-        while (folder.kept.isNotEmpty()) delay(RETRY)
+        while (folder.kept.isNotEmpty()) {
+            dropMerged()
+            delay(RETIRE_CHECK)
+        }
         status(isDone = true)
         log.info { "retainer ${self.id} is empty" }
     }
 
+    /** Drops what is kept of homes whose programs are in the log of their successors. */
+    private suspend fun dropMerged() {
+        val read = keys.list(HomeKeys.PREFIX) as? Read.Found ?: return
+        val merged =
+            read.value
+                .mapNotNull { it.value?.let(HomeKeys::decode) }
+                .filter { it.isMerged }
+                .map { it.home }
+        folder.kept.filter { it in merged }.forEach { folder.apply(HomeDropped(it)) }
+    }
+
     private suspend fun status(isDone: Boolean) {
         val key = Retirements.statusKey(settings.name)
         while (true) {
@@ -145,6 +160,9 @@
 
     companion object {
         private val RETRY = 200.milliseconds
+
+        /** Homes commit what is kept here within two to three seconds. */
+        private val RETIRE_CHECK = 500.milliseconds
         private const val RECORDS = "sycamore.retainer.records"
 
         /** Starts the daemon with its data in [folder]; it works until [scope] is cancelled. */
