--- a/forwarding/src/main/kotlin/sycamore/forwarding/UpstreamClient.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/UpstreamClient.kt
@@ -13,6 +13,7 @@
 import org.eclipse.jetty.util.thread.QueuedThreadPool
 import sycamore.model.Address
 import sycamore.platform.Header
+import java.io.EOFException
 import java.io.IOException
 import java.util.concurrent.CancellationException
 import java.util.concurrent.atomic.AtomicBoolean
@@ -144,12 +145,19 @@
                 steps.close()
             } else {
                 val failure = result.failure
-                steps.close(UpstreamException(failure.message ?: failure.toString(), sent.get()))
+                steps.close(UpstreamException(reason(failure), sent.get()))
             }
         }
     }
 
     private companion object {
+        /** Jetty tells the state of a closed connection object by object, which no reader of a log wants. */
+        fun reason(failure: Throwable): String =
+            when (failure) {
+                is EOFException -> "the connection was closed before the whole answer"
+                else -> failure.message ?: failure.toString()
+            }
+
         /** The farthest upstream is 24 ms away there and back; a lost first packet is sent again after a second. */
         val CONNECT_TIMEOUT = 1200.milliseconds
 
--- a/gateway/src/main/kotlin/sycamore/gateway/PlainCalls.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/PlainCalls.kt
@@ -82,12 +82,10 @@
                 call.trace.detail = reason
                 exchange.answer(OwnAnswer.NOT_RUN, reason, call.head.id, RETRY_AFTER)
             }
-            call.timeLeft <= Duration.ZERO ->
-                exchange.answer(
-                    OwnAnswer.TOO_LATE,
-                    "no answer came in time",
-                    call.head.id,
-                )
+            call.timeLeft <= Duration.ZERO -> {
+                call.trace.detail = "${call.trace.upstream} did not answer in time"
+                exchange.answer(OwnAnswer.TOO_LATE, "no answer came in time", call.head.id)
+            }
             else -> {
                 val reason = (last as? Attempt.Broke)?.reason ?: "no upstream is left"
                 call.trace.detail = reason
--- a/gateway/src/main/kotlin/sycamore/gateway/ProgramHomes.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/ProgramHomes.kt
@@ -141,7 +141,7 @@
             previous == null || previousAt != null ->
                 if (owner == null) Located.Nowhere(previousAt, isCertain) else Located.At(owner, previousAt, isCertain)
             isCertain -> settleMissing(heard)
-            else -> recover(serving, heard)
+            else -> recover(program, serving, heard)
         }
     }
 
@@ -161,13 +161,14 @@
 
     /** Has the homes of [serving] that are not heard taken over. */
     private suspend fun recover(
+        program: ProgramName,
         serving: List<HomeAt>,
         heard: List<Heard>,
     ): Located {
         val answering = heard.map { it.home.home }.toSet()
         val silent = serving.filter { it.home !in answering }
         if (silent.isEmpty()) return Located.NotNow("a home is still taking over another one")
-        log.event("homes-not-heard", "homes" to silent.map { it.home })
+        log.event("homes-not-heard", "program" to program, "homes" to silent.map { it.home })
         coroutineScope { silent.map { async { takeOver(it) } }.awaitAll() }
         return Located.NotNow("homes that are not heard: ${silent.map { it.home }}")
     }
@@ -177,7 +178,7 @@
         val serving = list.serving
         val heard = askAll(serving, FindProgram(program, null))
         val owner = heard.filter { it.found.hasProgram }.maxByOrNull { it.found.tokens }?.home
-        if (!list.isRead || !isComplete(serving, heard)) return recover(serving, heard)
+        if (!list.isRead || !isComplete(serving, heard)) return recover(program, serving, heard)
         if (owner == null) return Located.Nowhere(null, isCertain = true)
         learn(program, owner)
         return Located.At(owner, null, isCertain = true)
