Refuse turns at once that cannot be served within their deadline

The log said 'no slot became free within 1.18 s'. Ruled out: a free engine elsewhere (all gates had queues). Change: whenever the queue changes, turns whose expected start leaves less than half of a typical turn's time are refused, each with the time after which the turns before it will have had their place.

--- a/homes/src/main/kotlin/sycamore/homes/EngineGate.kt
+++ b/homes/src/main/kotlin/sycamore/homes/EngineGate.kt
@@ -2,6 +2,8 @@
 
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.withTimeoutOrNull
+import sycamore.decisions.turns.EnginePace
+import sycamore.decisions.turns.HopelessTurn
 import sycamore.decisions.turns.TurnQueue
 import sycamore.decisions.turns.WaitingTurn
 import java.util.concurrent.locks.ReentrantLock
@@ -40,7 +42,8 @@
     private class Waiter(
         val turn: WaitingTurn,
     ) {
-        val granted = CompletableDeferred<Unit>()
+        /** Completes with null when the turn may go to the engine. */
+        val decided = CompletableDeferred<HopelessTurn?>()
     }
 
     private val start = time.markNow()
@@ -76,12 +79,12 @@
         val waiter = enqueue(turn)
         var isGranted = false
         try {
-            isGranted = withTimeoutOrNull(turn.timeLeft) { waiter.granted.await() } != null
-            isGranted = isGranted || leave(waiter)
+            withTimeoutOrNull(turn.timeLeft) { waiter.decided.await() }
+            isGranted = leave(waiter)
         } finally {
             if (!isGranted && leave(waiter)) release()
         }
-        if (!isGranted) return Passage.Refused("no slot became free within ${turn.timeLeft}", turnTime)
+        if (!isGranted) return refusal(waiter, turn)
         val began = now
         return Passage.Granted {
             observe(now - began)
@@ -89,6 +92,16 @@
         }
     }
 
+    private fun refusal(
+        waiter: Waiter,
+        turn: GateTurn,
+    ): Passage {
+        val hopeless = if (waiter.decided.isCompleted) waiter.decided.getCompleted() else null
+        if (hopeless == null) return Passage.Refused("no slot became free within ${turn.timeLeft}", turnTime)
+        val detail = "a slot is expected in ${hopeless.expectedWait}, and the caller waits for ${turn.timeLeft}"
+        return Passage.Refused(detail, hopeless.retryAfter)
+    }
+
     private fun enqueue(turn: GateTurn): Waiter =
         lock.withLock {
             slots = turn.slots
@@ -98,11 +111,8 @@
                 WaitingTurn(
                     number = number,
                     priority = turn.priority,
-                    since = now,
                     deadline = now + turn.timeLeft,
-                    finishBy = turn.finishIn?.let { now + it },
                     isContinuation = turn.isContinuation,
-                    work = turnTime,
                 )
             Waiter(waiting).also {
                 waiters[number] = it
@@ -114,7 +124,7 @@
     private fun leave(waiter: Waiter): Boolean =
         lock.withLock {
             waiters.remove(waiter.turn.number)
-            waiter.granted.isCompleted
+            waiter.decided.isCompleted && waiter.decided.getCompleted() == null
         }
 
     private fun release() =
@@ -125,13 +135,18 @@
 
     private fun dispatch() {
         while (running < slots) {
-            val next = TurnQueue.next(waiters.values.map { it.turn }) ?: return
+            val next = TurnQueue.next(turns()) ?: return
             val waiter = waiters.remove(next.number) ?: return
             running++
-            waiter.granted.complete(Unit)
+            waiter.decided.complete(null)
+        }
+        for (hopeless in TurnQueue.hopeless(turns(), now, EnginePace(turnTime, slots))) {
+            waiters.remove(hopeless.turn.number)?.decided?.complete(hopeless)
         }
     }
 
+    private fun turns(): List<WaitingTurn> = waiters.values.map { it.turn }
+
     private fun observe(duration: Duration) {
         turnTime = turnTime * (1 - WEIGHT_OF_LAST) + duration * WEIGHT_OF_LAST
     }
