Read the log of a lost home once, and log how long each step of a takeover takes

After its seal was written, the whole log was read again. Nothing can stand behind what was read: the home's next segment would have the seal's key.

--- a/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
@@ -188,11 +188,21 @@
             if (!seen.add(next)) continue
             open += entries.filter { it.successor == next && !it.isMerged }.map { it.home }
         }
+        val began = time.markNow()
         val logs = seen.map { seals.seal(it, home.id) ?: return cannot("the log cannot be read", it) }
+        val read = began.elapsedNow()
         val retained = logs.map { collect(it) ?: return cannot("the retainers cannot be asked", it.home) }
-        logs.zip(retained).forEach { (log, kept) ->
-            home.adopt((log.records + kept).distinctBy { it.number })
+        val collected = began.elapsedNow()
+        logs.zip(retained).forEach { (written, kept) ->
+            home.adopt((written.records + kept).distinctBy { it.number })
         }
+        log.event(
+            "home-read",
+            "homes" to seen,
+            "read_ms" to read.inWholeMilliseconds,
+            "retainers_ms" to (collected - read).inWholeMilliseconds,
+            "adopt_ms" to (began.elapsedNow() - collected).inWholeMilliseconds,
+        )
         scope.launch { logs.forEach { free(it, home) } }
         return true
     }
--- a/homes/src/main/kotlin/sycamore/homes/LostHome.kt
+++ b/homes/src/main/kotlin/sycamore/homes/LostHome.kt
@@ -63,9 +63,14 @@
             val next = (found.items.lastOrNull()?.let { LogSegments.sequence(it.key) } ?: 0) + 1
             val seal = LogSegment(lost, "$successor seals", emptyList(), sealedBy = successor)
             val write = keys.put(LogSegments.key(lost, next), LogSegments.encode(seal), Revision.ABSENT, SEAL_LEASE)
-            if (write is Write.NotSent) {
-                log.warning("log-not-sealed", "home" to lost, "detail" to write.reason)
-                return null
+            when (write) {
+                // The home's next segment would stand where the seal is, so that what was read is all there is.
+                is Write.Taken -> return LostHome(lost, found.items, found.segments)
+                is Write.NotSent -> {
+                    log.warning("log-not-sealed", "home" to lost, "detail" to write.reason)
+                    return null
+                }
+                is Write.Conflict, is Write.NotKnown -> continue
             }
         }
     }
