--- a/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
@@ -286,8 +286,6 @@
             assertEquals("whole", fixture.turn(2, "b", "t2").outcome())
         }
 
-    /** All adopted records went to the retainers in one message, again and again (LOST, RECOVER on standard days). */
-
     /** A host with a disk was never emptied (a duty missed on trouble-1), since it kept what was long committed. */
     @Test
     fun `a retainer that leaves keeps nothing of a home once that is committed`() =
@@ -302,6 +300,7 @@
             assertEquals(0, first.count)
         }
 
+    /** All adopted records went to the retainers in one message, again and again (LOST, RECOVER on standard days). */
     @Test
     fun `records of a home that was taken over are not sent to retainers`() =
         home { fixture ->
