Ask daemons by one function; give the choice of an engine its own file

Asking another daemon with a limit stood in four places, two of which swallowed the reason. The time until a program should be finished was carried to the gate, which does not use it.

--- a/gateway/src/main/kotlin/sycamore/gateway/GateBoard.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/GateBoard.kt
@@ -2,13 +2,11 @@
 
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.flow.firstOrNull
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.links.AskGate
 import sycamore.links.Exchange
 import sycamore.links.GateStatus
-import sycamore.links.LinkException
+import sycamore.links.ask
 import sycamore.model.Address
 import sycamore.routing.ListedUpstream
 import java.util.concurrent.ConcurrentHashMap
@@ -88,12 +86,7 @@
     }
 
     private suspend fun ask(address: Address) {
-        val status =
-            try {
-                withTimeoutOrNull(FRESH) { exchange(address, AskGate).firstOrNull() } as? GateStatus
-            } catch (_: LinkException) {
-                null
-            }
+        val status = exchange.ask(address, AskGate, FRESH) as? GateStatus
         if (status == null) heard.remove(address) else heard[address] = Heard(status, time.markNow())
     }
 
--- a/gateway/src/main/kotlin/sycamore/gateway/ProgramHomes.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/ProgramHomes.kt
@@ -5,8 +5,6 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.flow.firstOrNull
-import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.daemon.Background
 import sycamore.daemon.log.event
 import sycamore.links.BudgetSpentElsewhere
@@ -14,18 +12,16 @@
 import sycamore.links.FindProgram
 import sycamore.links.HomeAt
 import sycamore.links.HomeTaken
-import sycamore.links.LinkException
 import sycamore.links.Message
 import sycamore.links.ProgramFound
 import sycamore.links.TakeHome
-import sycamore.model.Address
+import sycamore.links.ask
 import sycamore.model.HomeId
 import sycamore.model.PlaceName
 import sycamore.routing.AttemptId
 import sycamore.routing.ProgramName
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.ComparableTimeMark
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
@@ -115,7 +111,7 @@
         if (!spent.add(program)) return
         list.serving.filter { it.home != home.home }.forEach { other ->
             background.launch("telling ${other.home} of a spent budget") {
-                ask(other.address, BudgetSpentElsewhere(program), SPENT_LIMIT)
+                exchange.ask(other.address, BudgetSpentElsewhere(program), SPENT_LIMIT)
             }
         }
     }
@@ -214,7 +210,7 @@
                     ),
                 )
         for (candidate in candidates.take(MAX_CANDIDATES)) {
-            val reply = ask(candidate.address, TakeHome(lost), TAKE_LIMIT)
+            val reply = exchange.ask(candidate.address, TakeHome(lost), TAKE_LIMIT)
             if (reply is HomeTaken) {
                 list.learn(lost.home, reply.successor)
                 return reply.successor
@@ -229,24 +225,19 @@
     ): List<Heard> =
         coroutineScope {
             homes
-                .map { home -> async { (ask(home.address, message, FIND_LIMIT) as? ProgramFound)?.let { home to it } } }
-                .awaitAll()
+                .map { home ->
+                    async {
+                        (exchange.ask(home.address, message, FIND_LIMIT) as? ProgramFound)?.let {
+                            home to
+                                it
+                        }
+                    }
+                }.awaitAll()
                 .filterNotNull()
                 .filter { (home, found) -> found.home == home.home }
                 .map { (home, found) -> Heard(home, found) }
         }
 
-    private suspend fun ask(
-        to: Address,
-        message: Message,
-        limit: Duration,
-    ): Message? =
-        try {
-            withTimeoutOrNull(limit) { exchange(to, message).firstOrNull() }
-        } catch (_: LinkException) {
-            null
-        }
-
     private companion object {
         const val MAX_CANDIDATES = 3
 
--- a/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
@@ -30,7 +30,7 @@
 
 /** Sends turns of programs to their homes and passes the answers on. */
 internal class TurnCalls(
-    private val place: PlaceName,
+    place: PlaceName,
     private val homes: ProgramHomes,
     private val board: GateBoard,
     private val engines: (AcceptedCall) -> EngineProfile?,
@@ -38,6 +38,8 @@
     private val meters: CallMeters,
     private val time: TimeSource,
 ) {
+    private val choice = EngineChoice(place, board)
+
     /** Serves [call], a turn of [program] named [turn]. */
     suspend fun serve(
         caller: CallerExchange,
@@ -87,7 +89,7 @@
                     }
                     is Located.At -> if (send(located.home, located.previousAt, located.isCertain)) return
                     is Located.Nowhere -> {
-                        val home = newHome()
+                        val home = choice.newHome(call.service, excluded)
                         if (home == null) {
                             delay(PAUSE)
                         } else if (send(home, located.previousAt, located.isCertain)) {
@@ -112,35 +114,13 @@
             }
         }
 
-        private fun newHome(): HomeAt? {
-            val host =
-                board.all
-                    .filter { isUsable(it) && it.upstream.id !in excluded }
-                    .minByOrNull { cost(it) }
-            return host?.let { HomeAt(it.status!!.home, it.address) }
-        }
-
-        private fun isUsable(host: EngineHost): Boolean {
-            val status = host.status ?: return false
-            return status.isReady &&
-                !host.upstream.isLeaving &&
-                host.upstream.service == call.service
-        }
-
-        private fun cost(host: EngineHost): Double {
-            val status = host.status!!
-            val distance = if (host.upstream.place == place) Duration.ZERO else DISTANCE
-            val load = LOAD * (status.running + status.waiting + host.placed)
-            return (status.wait + distance + load).inWholeMicroseconds.toDouble()
-        }
-
         /** Sends the turn to [home]; true when the caller has its answer. */
         private suspend fun send(
             home: HomeAt,
             previousAt: HomeAt?,
             isVerified: Boolean,
         ): Boolean {
-            val target = target(home)
+            val target = choice.target(home, call.service, excluded)
             if (target == null) {
                 lastReason = "no engine of ${call.service} takes turns"
                 delay(PAUSE)
@@ -171,19 +151,6 @@
             }
         }
 
-        /** The engine beside [home] if it takes turns of the service, or else the best other one. */
-        private fun target(home: HomeAt): EngineHost? {
-            val own = board.at(home.address)
-            if (own != null &&
-                !own.upstream.isLeaving &&
-                own.upstream.service == call.service &&
-                own.upstream.id !in excluded
-            ) {
-                return own
-            }
-            return board.all.filter { isUsable(it) && it.upstream.id !in excluded }.minByOrNull { cost(it) }
-        }
-
         private suspend fun sendTo(
             home: HomeAt,
             target: EngineHost,
@@ -243,7 +210,6 @@
                 mostTokens = call.head.maxOutputTokens ?: 0,
                 promptTokens = call.head.promptTokens ?: 0,
                 priority = call.route.priority,
-                finishIn = call.head.finishIn,
                 timeLeft = call.timeLeft - MARGIN,
                 method = call.method,
                 path = call.target,
@@ -375,11 +341,5 @@
         val HOLD = 1200.milliseconds
         val PAUSE = 100.milliseconds
         val RETRY_AFTER = 400.milliseconds
-
-        /** What an engine in another region costs in time: the way there and back, and bytes that are paid for. */
-        val DISTANCE = 60.milliseconds
-
-        /** What each turn at an engine adds to the time of another. */
-        val LOAD = 6.milliseconds
     }
 }
--- a/homes/src/main/kotlin/sycamore/homes/EngineGate.kt
+++ b/homes/src/main/kotlin/sycamore/homes/EngineGate.kt
@@ -16,7 +16,6 @@
 internal data class GateTurn(
     val priority: Int,
     val timeLeft: Duration,
-    val finishIn: Duration?,
     val isContinuation: Boolean,
     val slots: Int,
 )
--- a/homes/src/main/kotlin/sycamore/homes/GateRunner.kt
+++ b/homes/src/main/kotlin/sycamore/homes/GateRunner.kt
@@ -53,7 +53,7 @@
     ): Flow<Message> =
         flow {
             val arrived = time.markNow()
-            val turn = GateTurn(call.priority, call.timeLeft, call.finishIn, call.previous != null, call.engineSlots)
+            val turn = GateTurn(call.priority, call.timeLeft, call.previous != null, call.engineSlots)
             when (val passage = gate.pass(turn)) {
                 is Passage.Refused -> emit(TurnRefused(TurnRefusal.NOT_NOW, passage.detail, passage.retryAfter))
                 is Passage.Granted ->
--- a/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
@@ -24,7 +24,7 @@
 import sycamore.links.Message
 import sycamore.links.RecordsOf
 import sycamore.links.TakeHome
-import sycamore.model.Address
+import sycamore.links.ask
 import sycamore.model.HomeId
 import sycamore.services.Item
 import sycamore.services.KeyValue
@@ -38,7 +38,6 @@
 import sycamore.turns.RetainerId
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
@@ -237,7 +236,7 @@
     private suspend fun end(
         retainer: Retainer,
         lost: HomeId,
-    ): RecordsOf? = ask(retainer.address, EndHome(retainer.id, lost), COLLECT_LIMIT) as? RecordsOf
+    ): RecordsOf? = exchange.ask(retainer.address, EndHome(retainer.id, lost), COLLECT_LIMIT) as? RecordsOf
 
     /** Once the programs are committed in the log of [home], what is left of the lost one is dropped. */
     private suspend fun free(
@@ -251,7 +250,7 @@
         lost.retainers
             .flatten()
             .distinctBy { it.id }
-            .forEach { ask(it.address, DropHome(lost.home), COLLECT_LIMIT) }
+            .forEach { exchange.ask(it.address, DropHome(lost.home), COLLECT_LIMIT) }
     }
 
     private suspend fun markMerged(
@@ -269,18 +268,6 @@
         }
     }
 
-    private suspend fun ask(
-        to: Address,
-        message: Message,
-        limit: Duration,
-    ): Message? =
-        try {
-            withTimeoutOrNull(limit) { exchange(to, message).firstOrNull() }
-        } catch (e: LinkException) {
-            log.debug { "$to cannot be asked: ${e.message}" }
-            null
-        }
-
     private companion object {
         /** Callers of turns wait for 3 s; a daemon that is silent for half of that is given up. */
         val ALIVE_LIMIT = 1200.milliseconds
--- a/homes/src/main/kotlin/sycamore/homes/RecordRetention.kt
+++ b/homes/src/main/kotlin/sycamore/homes/RecordRetention.kt
@@ -7,7 +7,6 @@
 import kotlinx.coroutines.flow.collectLatest
 import kotlinx.coroutines.flow.combine
 import kotlinx.coroutines.flow.first
-import kotlinx.coroutines.flow.firstOrNull
 import kotlinx.coroutines.flow.update
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
@@ -15,8 +14,7 @@
 import sycamore.links.Done
 import sycamore.links.Exchange
 import sycamore.links.KeepRecords
-import sycamore.links.LinkException
-import sycamore.links.Message
+import sycamore.links.ask
 import sycamore.model.PlaceName
 import sycamore.turns.Retainer
 import sycamore.turns.RetainerId
@@ -96,7 +94,8 @@
             val isNamed = journal.named.value.any { it.id == former.id }
             if (isNamed || journal.ended.isCompleted) return
             val committed = journal.committed.value
-            if (ask(former, KeepRecords(former.id, journal.home, committed, emptyList())) != null) return
+            val message = KeepRecords(former.id, journal.home, committed, emptyList())
+            if (exchange.ask(former.address, message, ASK_LIMIT) != null) return
             delay(TELL_PERIOD)
         }
         log.info { "former retainer ${former.host} of ${journal.home} did not answer" }
@@ -132,7 +131,12 @@
             val state = awaitWork(retainer.id, told) ?: return
             val committed = journal.committed.value
             val batch = if (state.isUsed) journal.batchAbove(state.kept) else KeepBatch(emptyList(), state.kept)
-            val reply = ask(retainer, KeepRecords(retainer.id, journal.home, committed, batch.records))
+            val reply =
+                exchange.ask(
+                    retainer.address,
+                    KeepRecords(retainer.id, journal.home, committed, batch.records),
+                    ASK_LIMIT,
+                )
             when (reply) {
                 is Done -> {
                     directory.answered(retainer.id)
@@ -168,17 +172,6 @@
         return state
     }
 
-    private suspend fun ask(
-        retainer: Retainer,
-        message: Message,
-    ): Message? =
-        try {
-            withTimeoutOrNull(ASK_LIMIT) { exchange(retainer.address, message).firstOrNull() }
-        } catch (e: LinkException) {
-            log.debug { "retainer ${retainer.host} cannot be reached: ${e.message}" }
-            null
-        }
-
     /** Uses another retainer when a record has waited for too long, and commits at once when there is none. */
     private suspend fun watchLate() {
         while (true) {
--- a/homes/src/test/kotlin/sycamore/homes/EngineGateTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/EngineGateTest.kt
@@ -90,5 +90,5 @@
 
     private fun TestScope.close() = coroutineContext.job.children.forEach { it.cancel() }
 
-    private fun turn(timeLeft: Duration = 3.seconds) = GateTurn(0, timeLeft, null, isContinuation = true, slots = 2)
+    private fun turn(timeLeft: Duration = 3.seconds) = GateTurn(0, timeLeft, isContinuation = true, slots = 2)
 }
--- a/homes/src/test/kotlin/sycamore/homes/HomeFixture.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeFixture.kt
@@ -185,7 +185,6 @@
         mostTokens = 50,
         promptTokens = 10,
         priority = 0,
-        finishIn = null,
         timeLeft = 3.seconds,
         method = "POST",
         path = "/a/b",
--- a/links/src/main/kotlin/sycamore/links/TurnMessage.kt
+++ b/links/src/main/kotlin/sycamore/links/TurnMessage.kt
@@ -36,7 +36,6 @@
  * @property tokensPerEvent tokens in each event of the answer.
  * @property tokenBudget tokens that all turns of the program may generate.
  * @property mostTokens tokens that this turn may generate.
- * @property finishIn until the program should be finished.
  * @property timeLeft until the caller or the route gives up.
  */
 @Serializable
@@ -55,7 +54,6 @@
     val mostTokens: Long,
     val promptTokens: Long,
     val priority: Int,
-    val finishIn: Duration?,
     val timeLeft: Duration,
     val method: String,
     val path: String,
