--- a/forwarding/src/main/kotlin/sycamore/forwarding/UpstreamClient.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/UpstreamClient.kt
@@ -155,7 +155,7 @@
         fun reason(failure: Throwable): String =
             when (failure) {
                 is EOFException -> "the connection was closed before the whole answer"
-                else -> failure.message ?: failure.toString()
+                else -> failure.message?.substringBefore(" on HttpConnection") ?: failure.toString()
             }
 
         /** The farthest upstream is 24 ms away there and back; a lost first packet is sent again after a second. */
--- a/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
@@ -1,6 +1,7 @@
 package sycamore.homes
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.FlowCollector
 import kotlinx.coroutines.flow.firstOrNull
@@ -149,6 +150,9 @@
                 last = TurnBroke("the turn's start could not be kept within $SAFE_LIMIT")
             } catch (_: CutOffException) {
                 last = TurnBroke("the engine's answer ends within an event")
+            } catch (e: CancellationException) {
+                last = TurnBroke("the caller left")
+                throw e
             } finally {
                 if (!isEnded) breakOff(last)
                 meters.end(outcome(last), arrived.elapsedNow())
