--- a/forwarding/src/main/kotlin/sycamore/forwarding/PlatformDaemon.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/PlatformDaemon.kt
@@ -29,6 +29,7 @@
 import sycamore.platform.StoreKeyValue
 import sycamore.services.keyValueClient
 import java.io.File
+import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -75,7 +76,13 @@
 
     /** Times of a stop are in force at once; addresses are used from the start of the process to its end. */
     private fun reload() {
-        when (val read = read()) {
+        val read =
+            try {
+                read()
+            } catch (e: IOException) {
+                return log.warning("settings-not-read", "findings" to e.message)
+            }
+        when (read) {
             is Checked.Invalid -> log.warning("settings-not-read", "findings" to read.findings.joinToString("; "))
             is Checked.Valid -> {
                 bounds = read.value.bounds
@@ -96,7 +103,13 @@
         delay(after)
         metrics.bindRuntime()
         metrics.bindKeyValue(keys.counts)
-        val server = Http.serve(Address(settings.ip, port), ::answerMetrics, METRICS_LIMITS)
+        val server =
+            try {
+                Http.serve(Address(settings.ip, port), ::answerMetrics, METRICS_LIMITS)
+            } catch (e: IOException) {
+                // Callers are served without metrics too.
+                return log.warning("metrics-not-served", "detail" to e.message)
+            }
         try {
             awaitCancellation()
         } finally {
--- a/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
@@ -145,6 +145,19 @@
             assertIs<HomeTaken>(fixture.take(lost[1], by = 3))
         }
 
+    /** A host that was silent on inc-fc81 was taken over after 2.2 s: each attempt to ask it takes a second. */
+    @Test
+    fun `a silent home is taken over once callers have waited for half of their time`() =
+        home { fixture ->
+            fixture.start(1)
+            fixture.start(2)
+            val lost = fixture.at(1)
+            fixture.cut += address(1)
+            val began = fixture.time.markNow()
+            assertIs<HomeTaken>(fixture.take(lost, by = 2))
+            assertTrue(began.elapsedNow() < 1500.milliseconds, "found ${began.elapsedNow()}")
+        }
+
     @Test
     fun `a home that lives is not taken over`() =
         home { fixture ->
