Give asking one home a function of its own

Read again after the formatter had broken both places over many lines. Behaviour is the same: a home is heard if it answers in time and is the one that was asked for.

--- a/gateway/src/main/kotlin/sycamore/gateway/ProgramHomes.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/ProgramHomes.kt
@@ -225,19 +225,20 @@
     ): List<Heard> =
         coroutineScope {
             homes
-                .map { home ->
-                    async {
-                        (exchange.ask(home.address, message, FIND_LIMIT) as? ProgramFound)?.let {
-                            home to
-                                it
-                        }
-                    }
-                }.awaitAll()
+                .map { home -> async { hear(home, message) } }
+                .awaitAll()
                 .filterNotNull()
-                .filter { (home, found) -> found.home == home.home }
-                .map { (home, found) -> Heard(home, found) }
         }
 
+    /** What [home] says; null when it does not answer, or another home serves at its address. */
+    private suspend fun hear(
+        home: HomeAt,
+        message: Message,
+    ): Heard? {
+        val found = exchange.ask(home.address, message, FIND_LIMIT) as? ProgramFound
+        return if (found?.home == home.home) Heard(home, found) else null
+    }
+
     private companion object {
         const val MAX_CANDIDATES = 3
 
--- a/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
@@ -127,10 +127,8 @@
         val began = time.markNow()
         while (began.elapsedNow() < ALIVE_LIMIT) {
             try {
-                val status =
-                    withTimeoutOrNull(
-                        ALIVE_LIMIT - began.elapsedNow(),
-                    ) { exchange(lost.address, AskGate).firstOrNull() }
+                val left = ALIVE_LIMIT - began.elapsedNow()
+                val status = withTimeoutOrNull(left) { exchange(lost.address, AskGate).firstOrNull() }
                 if (status is GateStatus) return status.home == lost.home
             } catch (e: LinkException) {
                 if (e.isRefused) return false
