--- a/gateway/src/main/kotlin/sycamore/gateway/HomeList.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/homes/HomeList.kt
@@ -1,8 +1,12 @@
-package sycamore.gateway
+package sycamore.daemon.homes
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.asStateFlow
 import kotlinx.serialization.SerializationException
 import sycamore.links.HomeAt
 import sycamore.model.HomeId
@@ -10,6 +14,7 @@
 import sycamore.services.Item
 import sycamore.services.KeyValue
 import sycamore.services.Read
+import sycamore.services.Revision
 import sycamore.services.Watched
 import sycamore.services.watch
 import sycamore.turns.HomeEntry
@@ -17,17 +22,19 @@
 
 private val log = KotlinLogging.logger {}
 
-/**
- * All homes that registered themselves, with their successors.
- *
- * A home serves only once it is registered, so the last list that was read names all homes with programs, also while the
- * key-value service is away.
- */
-internal class HomeList(
+/** Follows the registrations of homes in the key-value service. */
+class HomeList(
     private val keys: KeyValue,
 ) {
-    @Volatile
     private var entries: PersistentMap<HomeId, HomeEntry> = persistentMapOf()
+    private var revision = Revision.ABSENT
+    private val current = MutableStateFlow(HomeView.EMPTY)
+
+    /** The homes as far as this process knows. */
+    val views: StateFlow<HomeView> = current.asStateFlow()
+
+    /** The homes as far as this process knows now. */
+    val view: HomeView get() = current.value
 
     /** Whether the list was read once. */
     @Volatile
@@ -35,17 +42,7 @@
         private set
 
     /** Homes that nobody has taken over. */
-    val serving: List<HomeAt> get() = servingOf(entries.values)
-
-    /** The home that serves the programs of [home] now. */
-    fun present(home: HomeAt): HomeAt {
-        var next = home
-        repeat(MAX_SUCCESSORS) {
-            val entry = entries[next.home] ?: return next
-            next = HomeAt(entry.successor ?: return next, entry.successorAddress ?: return next)
-        }
-        return next
-    }
+    val serving: List<HomeAt> get() = view.serving
 
     /** [lost] was taken over by [successor]. */
     @Synchronized
@@ -54,46 +51,57 @@
         successor: HomeAt,
     ) {
         entries = entries.put(lost, HomeEntry(lost, successor.address, successor.home, successor.address))
+        publish()
     }
 
-    /** Reads the list anew, for a decision that must not rest on an old one; null when it cannot be read now. */
+    /** Reads the homes anew, for a decision that must not rest on an old list; null when they cannot be read now. */
     suspend fun readServing(): List<HomeAt>? {
         val read = keys.list(HomeKeys.PREFIX) as? Read.Found ?: return null
-        return servingOf(read.value.mapNotNull(::decode))
+        return HomeView(read.revision, decodeAll(read.value)).serving
     }
 
-    private fun servingOf(entries: Collection<HomeEntry>): List<HomeAt> =
-        entries.filter { it.successor == null }.map { HomeAt(it.home, it.address) }
-
     /** Follows the registrations until cancelled. */
     suspend fun run() {
         keys.watch(HomeKeys.PREFIX, backoff = Backoff.prompt()).collect { watched ->
             when (watched) {
                 is Watched.Snapshot -> {
-                    replace(watched.items)
+                    replace(watched)
                     isRead = true
                 }
-                is Watched.Changes -> watched.items.forEach(::change)
+                is Watched.Changes -> change(watched)
                 is Watched.Unreachable -> log.info { "the homes cannot be followed now: ${watched.reason}" }
             }
         }
     }
 
     @Synchronized
-    private fun replace(items: List<Item>) {
-        entries = persistentMapOf<HomeId, HomeEntry>().putAll(items.mapNotNull(::decode).associateBy { it.home })
+    private fun replace(read: Watched.Snapshot) {
+        entries = decodeAll(read.items)
+        revision = read.revision
+        publish()
     }
 
     @Synchronized
-    private fun change(item: Item) {
-        val entry = decode(item)
-        if (entry != null) {
-            entries = entries.put(entry.home, entry)
-        } else {
-            HomeId.parse(item.key.removePrefix(HomeKeys.PREFIX))?.let { entries = entries.remove(it) }
+    private fun change(changes: Watched.Changes) {
+        for (item in changes.items) {
+            val entry = decode(item)
+            if (entry != null) {
+                entries = entries.put(entry.home, entry)
+            } else {
+                HomeId.parse(item.key.removePrefix(HomeKeys.PREFIX))?.let { entries = entries.remove(it) }
+            }
         }
+        revision = maxOf(revision, changes.revision)
+        publish()
+    }
+
+    private fun publish() {
+        current.value = HomeView(revision, entries)
     }
 
+    private fun decodeAll(items: List<Item>): PersistentMap<HomeId, HomeEntry> =
+        items.mapNotNull(::decode).associateBy { it.home }.toPersistentMap()
+
     private fun decode(item: Item): HomeEntry? =
         try {
             item.value?.let(HomeKeys::decode)
@@ -101,8 +109,4 @@
             log.warn(e) { "the home ${item.key} cannot be read" }
             null
         }
-
-    private companion object {
-        const val MAX_SUCCESSORS = 16
-    }
 }
--- /dev/null
+++ b/decisions/src/main/kotlin/sycamore/decisions/programs/ProgramPartitions.kt
@@ -0,0 +1,26 @@
+package sycamore.decisions.programs
+
+import org.apache.commons.codec.digest.MurmurHash3
+import sycamore.model.HomeId
+
+/**
+ * Divides the directory of programs among homes: each program's name falls into one partition, and each partition has
+ * one owner, the home with the highest hash for it (rendezvous hashing).
+ *
+ * A home that joins or leaves moves only the partitions that it owns then or owned before.
+ */
+object ProgramPartitions {
+    /** Partitions. A change of members makes new owners ask for at most about this many lists, however many homes there are. */
+    const val COUNT = 256
+
+    /** The partition of the program called [name]. */
+    fun of(name: String): Int = Math.floorMod(hash(name), COUNT)
+
+    /** The owner of [partition] among [homes]; null if there are none. */
+    fun owner(
+        partition: Int,
+        homes: Collection<HomeId>,
+    ): HomeId? = homes.maxWithOrNull(compareBy({ hash("$partition/$it") }, { it.toString() }))
+
+    private fun hash(text: String): Long = MurmurHash3.hash128x64(text.encodeToByteArray())[0]
+}
--- a/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
 import sycamore.daemon.Background
+import sycamore.daemon.homes.HomeList
 import sycamore.daemon.log.event
 import sycamore.forwarding.BodyTooLargeException
 import sycamore.forwarding.CallUpstream
@@ -19,6 +20,8 @@
 import sycamore.platform.HostSettings
 import sycamore.routing.CallerHead
 import sycamore.routing.CallerLimits
+import sycamore.routing.ProgramName
+import sycamore.routing.Repeat
 import sycamore.routing.Route
 import sycamore.routing.RouteTable
 import sycamore.services.KeyValue
@@ -173,9 +176,10 @@
         caller: CallerExchange,
         call: AcceptedCall,
     ) {
-        val program = call.head.program
-        if (call.route.retention != null && program != null) {
-            turns.serve(caller, call, program, call.head.id!!)
+        val turn = call.head.id!!
+        if (call.route.repeat == Repeat.ONCE_STREAMED && engine(call) != null) {
+            // A call of no program is one of its own, of a single turn.
+            turns.serve(caller, call, call.head.program ?: ProgramName(turn.value), turn)
         } else {
             plain.serve(caller, call)
         }
--- a/gateway/src/main/kotlin/sycamore/gateway/ProgramHomes.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/ProgramHomes.kt
@@ -5,16 +5,22 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.flow.channelFlow
+import kotlinx.coroutines.flow.toList
+import kotlinx.coroutines.flow.transformWhile
+import kotlinx.coroutines.launch
 import sycamore.daemon.Background
+import sycamore.daemon.homes.HomeList
 import sycamore.daemon.log.event
-import sycamore.links.BudgetSpentElsewhere
+import sycamore.decisions.programs.ProgramPartitions
 import sycamore.links.Exchange
-import sycamore.links.FindProgram
+import sycamore.links.FindTurn
 import sycamore.links.HomeAt
 import sycamore.links.HomeTaken
-import sycamore.links.Message
-import sycamore.links.ProgramFound
+import sycamore.links.LocateProgram
+import sycamore.links.ProgramAt
 import sycamore.links.TakeHome
+import sycamore.links.TurnFound
 import sycamore.links.ask
 import sycamore.model.HomeId
 import sycamore.model.PlaceName
@@ -31,27 +37,18 @@
 
 /** Where a program's next turn goes. */
 internal sealed interface Located {
-    /**
-     * It lives at [home].
-     *
-     * @property previousAt the home of the turn that it continues, if that is another one.
-     * @property isCertain whether no other home can have the program.
-     */
+    /** It goes to [home]. */
     data class At(
         val home: HomeAt,
-        val previousAt: HomeAt?,
-        val isCertain: Boolean,
     ) : Located
 
     /**
-     * No home has it, as far as is known.
+     * The program is new.
      *
      * @property previousAt the home of the turn that it continues; null if it continues none.
-     * @property isCertain whether all homes said so.
      */
     data class Nowhere(
         val previousAt: HomeAt?,
-        val isCertain: Boolean,
     ) : Located
 
     /** The turn that it continues does not exist. */
@@ -80,15 +77,14 @@
     /** What one home said. */
     private class Heard(
         val home: HomeAt,
-        val found: ProgramFound,
+        val found: TurnFound,
     )
 
     private val known = ConcurrentHashMap<ProgramName, Known>()
-    private val spent = ConcurrentHashMap.newKeySet<ProgramName>()
     private val takeovers = ConcurrentHashMap<HomeId, CompletableDeferred<HomeAt?>>()
 
     /** The home of [program], if this process knows it. */
-    fun known(program: ProgramName): HomeAt? = known[program]?.let { list.present(it.home) }
+    fun known(program: ProgramName): HomeAt? = known[program]?.let { list.view.present(it.home) }
 
     /** [program] lives at [home]. */
     fun learn(
@@ -103,42 +99,40 @@
         known.remove(program)
     }
 
-    /** [program] has spent its budget at [home]. All other homes learn it, since it may come back when [home] is lost. */
-    fun spent(
-        program: ProgramName,
-        home: HomeAt,
-    ) {
-        if (!spent.add(program)) return
-        list.serving.filter { it.home != home.home }.forEach { other ->
-            background.launch("telling ${other.home} of a spent budget") {
-                exchange.ask(other.address, BudgetSpentElsewhere(program), SPENT_LIMIT)
-            }
-        }
-    }
-
     /** Drops programs that no call came of for long. */
     fun dropIdle() {
         known.values.removeIf { it.at.elapsedNow() > KEEP }
-        if (spent.size > MAX_SPENT) spent.clear()
     }
 
-    /** Asks all homes for [program] and for the turn [previous] that it continues. */
+    /**
+     * Asks the directory for [program], whose turn continues [previous]. All homes are asked for that turn if the program is
+     * new, or if the directory cannot tell.
+     */
     suspend fun locate(
         program: ProgramName,
-        previous: AttemptId?,
+        previous: AttemptId,
     ): Located {
-        val serving = list.serving
-        val heard = askAll(serving, FindProgram(program, previous))
-        val owner = heard.filter { it.found.hasProgram }.maxByOrNull { it.found.tokens }?.home
-        val previousAt = heard.firstOrNull { it.found.hasPrevious }?.home
-        if (owner != null) learn(program, owner)
-        val isCertain = list.isRead && isComplete(serving, heard)
-        return when {
-            previous == null || previousAt != null ->
-                if (owner == null) Located.Nowhere(previousAt, isCertain) else Located.At(owner, previousAt, isCertain)
-            isCertain -> settleMissing(heard)
-            else -> recover(program, serving, heard)
+        val owner = list.view.ownerOf(ProgramPartitions.of(program.value))
+        val reply = owner?.let { exchange.ask(it.address, LocateProgram(program), FIND_LIMIT) }
+        if (owner != null && reply == null) {
+            log.event("directory-not-heard", "program" to program, "home" to owner.home)
+            background.launch("taking over ${owner.home}") { takeOver(owner) }
+        }
+        val home = (reply as? ProgramAt)?.home
+        if (home != null) {
+            learn(program, home)
+            return Located.At(home)
         }
+        val found = findTurn(previous)
+        return if (reply is ProgramAt && found is Located.At) Located.Nowhere(found.home) else found
+    }
+
+    /** Asks all homes which of them has [turn]. */
+    suspend fun findTurn(turn: AttemptId): Located {
+        val serving = list.serving
+        val heard = askAll(serving, turn)
+        heard.firstOrNull { it.found.hasTurn }?.let { return Located.At(it.home) }
+        return if (list.isRead && isComplete(serving, heard)) settleMissing(heard) else recover(turn, serving, heard)
     }
 
     private fun isComplete(
@@ -157,32 +151,21 @@
 
     /** Has the homes of [serving] that are not heard taken over. */
     private suspend fun recover(
-        program: ProgramName,
+        turn: AttemptId,
         serving: List<HomeAt>,
         heard: List<Heard>,
     ): Located {
         val answering = heard.map { it.home.home }.toSet()
         val silent = serving.filter { it.home !in answering }
         if (silent.isEmpty()) return Located.NotNow("a home is still taking over another one")
-        log.event("homes-not-heard", "program" to program, "homes" to silent.map { it.home })
+        log.event("homes-not-heard", "turn" to turn, "homes" to silent.map { it.home })
         coroutineScope { silent.map { async { takeOver(it) } }.awaitAll() }
         return Located.NotNow("homes that are not heard: ${silent.map { it.home }}")
     }
 
-    /** Makes sure that no home but the one that [locate] tells has [program]; [Located.NotNow] if that cannot be told. */
-    suspend fun verify(program: ProgramName): Located {
-        val serving = list.serving
-        val heard = askAll(serving, FindProgram(program, null))
-        val owner = heard.filter { it.found.hasProgram }.maxByOrNull { it.found.tokens }?.home
-        if (!list.isRead || !isComplete(serving, heard)) return recover(program, serving, heard)
-        if (owner == null) return Located.Nowhere(null, isCertain = true)
-        learn(program, owner)
-        return Located.At(owner, null, isCertain = true)
-    }
-
     /** Has [lost] taken over, by its own host if that is back, or by another one; null when none can do so now. */
     suspend fun takeOver(lost: HomeAt): HomeAt? {
-        val present = list.present(lost)
+        val present = list.view.present(lost)
         if (present != lost) return present
         val result = CompletableDeferred<HomeAt?>()
         val other = takeovers.putIfAbsent(lost.home, result)
@@ -219,38 +202,33 @@
         return null
     }
 
+    /** What [homes] say of [turn]: all that answered, or less once one of them has it. */
     private suspend fun askAll(
         homes: List<HomeAt>,
-        message: Message,
+        turn: AttemptId,
     ): List<Heard> =
-        coroutineScope {
-            homes
-                .map { home -> async { hear(home, message) } }
-                .awaitAll()
-                .filterNotNull()
-        }
+        channelFlow {
+            homes.forEach { home -> launch { hear(home, turn)?.let { send(it) } } }
+        }.transformWhile {
+            emit(it)
+            !it.found.hasTurn
+        }.toList()
 
     /** What [home] says; null when it does not answer, or another home serves at its address. */
     private suspend fun hear(
         home: HomeAt,
-        message: Message,
+        turn: AttemptId,
     ): Heard? {
-        val found = exchange.ask(home.address, message, FIND_LIMIT) as? ProgramFound
+        val found = exchange.ask(home.address, FindTurn(turn), FIND_LIMIT) as? TurnFound
         return if (found?.home == home.home) Heard(home, found) else null
     }
 
     private companion object {
         const val MAX_CANDIDATES = 3
 
-        /** Names that are remembered as told; one that is told again does no harm. */
-        const val MAX_SPENT = 10_000
-
         /** The way to the farthest region and back, several times. */
         val FIND_LIMIT = 400.milliseconds
 
-        /** The record is kept on two disks before it is answered. */
-        val SPENT_LIMIT = 3.seconds
-
         /** A takeover asks the lost home, the store and the retainers. */
         val TAKE_LIMIT = 2.seconds
 
--- a/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
@@ -53,8 +53,10 @@
         /** The caller has its last word. */
         data object Done : Sent
 
-        /** The turn did not run, since its program's home has to be verified first. */
-        data object Again : Sent
+        /** The turn did not run, since its program lives at [home]. */
+        class Redirected(
+            val home: HomeAt,
+        ) : Sent
 
         /** The turn did not run; it may be sent elsewhere. */
         class Elsewhere(
@@ -75,7 +77,6 @@
     ) {
         private val excluded = HashSet<UpstreamId>()
         private var lastReason = "no engine takes turns"
-        private var isUnverified = false
         private val arrived = time.markNow()
 
         suspend fun run() {
@@ -87,12 +88,12 @@
                         lastReason = located.reason
                         delay(PAUSE)
                     }
-                    is Located.At -> if (send(located.home, located.previousAt, located.isCertain)) return
+                    is Located.At -> if (send(located.home, previousAt = null)) return
                     is Located.Nowhere -> {
                         val home = choice.newHome(call.service, excluded)
                         if (home == null) {
                             delay(PAUSE)
-                        } else if (send(home, located.previousAt, located.isCertain)) {
+                        } else if (send(home, located.previousAt)) {
                             return
                         }
                     }
@@ -106,11 +107,11 @@
 
         private suspend fun locate(): Located {
             val home = homes.known(program)
+            val previous = call.head.previous
             return when {
-                isUnverified -> homes.verify(program).also { isUnverified = it is Located.NotNow }
-                home != null -> Located.At(home, null, isCertain = false)
-                call.head.previous == null -> Located.Nowhere(null, isCertain = false)
-                else -> homes.locate(program, call.head.previous)
+                home != null -> Located.At(home)
+                previous == null -> Located.Nowhere(previousAt = null)
+                else -> homes.locate(program, previous)
             }
         }
 
@@ -118,7 +119,6 @@
         private suspend fun send(
             home: HomeAt,
             previousAt: HomeAt?,
-            isVerified: Boolean,
         ): Boolean {
             val target = choice.target(home, call.service, excluded)
             if (target == null) {
@@ -126,9 +126,12 @@
                 delay(PAUSE)
                 return false
             }
-            return when (val sent = sendTo(home, target, message(previousAt, isVerified, target))) {
+            return when (val sent = sendTo(home, target, message(previousAt, target))) {
                 Sent.Done -> true
-                Sent.Again -> false
+                is Sent.Redirected -> {
+                    homes.learn(program, sent.home)
+                    if (previousAt == null) false else send(sent.home, previousAt)
+                }
                 is Sent.Elsewhere -> {
                     lastReason = sent.reason
                     meters.sendAgain("refused")
@@ -192,7 +195,6 @@
 
         private fun message(
             previousAt: HomeAt?,
-            isVerified: Boolean,
             target: EngineHost,
         ): RunTurn {
             val profile = engines(call)
@@ -201,7 +203,7 @@
                 turn = turn,
                 previous = call.head.previous,
                 previousAt = previousAt,
-                isVerified = isVerified,
+                keepsHistory = call.route.retention != null,
                 target = target.upstream,
                 targetHost = target.address,
                 engineSlots = profile?.slots ?: target.upstream.slots,
@@ -249,10 +251,7 @@
             target: EngineHost,
         ): Sent {
             when (reply.reason) {
-                TurnRefusal.BUDGET_SPENT -> {
-                    homes.spent(program, home)
-                    answer(OwnAnswer.BUDGET_SPENT, reply.detail)
-                }
+                TurnRefusal.BUDGET_SPENT -> answer(OwnAnswer.BUDGET_SPENT, reply.detail)
                 TurnRefusal.NO_SUCH_TURN -> return missing(reply, home)
                 TurnRefusal.NOT_NOW -> {
                     answer(OwnAnswer.NOT_RUN, reply.detail, reply.retryAfter ?: RETRY_AFTER)
@@ -261,11 +260,8 @@
                     excluded += target.upstream.id
                     return Sent.Elsewhere(reply.detail)
                 }
-                TurnRefusal.NOT_VERIFIED -> {
-                    isUnverified = true
-                    return Sent.Again
-                }
                 TurnRefusal.NOT_HERE -> {
+                    reply.livesAt?.let { return Sent.Redirected(it) }
                     homes.forget(program)
                     return Sent.Elsewhere(reply.detail)
                 }
@@ -278,25 +274,16 @@
             reply: TurnRefused,
             home: HomeAt,
         ): Sent =
-            when (val located = homes.locate(program, call.head.previous)) {
+            when (val located = homes.findTurn(call.head.previous!!)) {
                 Located.NoSuchTurn -> {
                     noSuchTurn()
                     Sent.Done
                 }
                 is Located.At ->
-                    if (located.previousAt == null || located.previousAt.home == home.home) {
-                        Sent.Elsewhere(reply.detail)
-                    } else {
-                        if (send(
-                                located.home,
-                                located.previousAt,
-                                located.isCertain,
-                            )
-                        ) {
-                            Sent.Done
-                        } else {
-                            Sent.Elsewhere(reply.detail)
-                        }
+                    when {
+                        located.home.home == home.home -> Sent.Elsewhere(reply.detail)
+                        send(home, located.home) -> Sent.Done
+                        else -> Sent.Elsewhere(reply.detail)
                     }
                 else -> Sent.Elsewhere(reply.detail)
             }
--- a/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
@@ -15,24 +15,30 @@
 import kotlinx.coroutines.flow.flowOf
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import sycamore.daemon.homes.HomeList
 import sycamore.daemon.log.event
 import sycamore.forwarding.CallUpstream
 import sycamore.links.AskGate
 import sycamore.links.AskPrompt
-import sycamore.links.BudgetSpentElsewhere
+import sycamore.links.ClaimPartitions
+import sycamore.links.CountTokens
+import sycamore.links.Declined
 import sycamore.links.Done
 import sycamore.links.Exchange
-import sycamore.links.FindProgram
+import sycamore.links.FindTurn
+import sycamore.links.ForgetPrograms
 import sycamore.links.GateStatus
 import sycamore.links.HomeAt
 import sycamore.links.HomeTaken
 import sycamore.links.LinkException
+import sycamore.links.LocateProgram
 import sycamore.links.Message
-import sycamore.links.ProgramFound
 import sycamore.links.Prompt
+import sycamore.links.RegisterProgram
 import sycamore.links.RunPrompt
 import sycamore.links.RunTurn
 import sycamore.links.TakeHome
+import sycamore.links.TurnFound
 import sycamore.links.TurnRefusal
 import sycamore.links.TurnRefused
 import sycamore.links.Unsupported
@@ -68,6 +74,7 @@
     private val gate = EngineGate(time)
     private val gates = GateRunner(settings.upstream, gate, callUpstream, exchange, time)
     private val retainers = RetainerDirectory(keys, settings.place.name, exchange, time) { home.journal.check() }
+    private val homes = HomeList(keys)
     private val takeovers = HomeTakeovers(keys, exchange, scope, meters, time) { home }
     private val spent = SpentPrograms(keys, scope)
     private val turns = AtomicInteger()
@@ -90,8 +97,12 @@
             is RunTurn -> flow { run(message) }
             is RunPrompt -> gates.atOwn(message.call, message.prompt)
             is AskGate -> flowOf(status())
-            is FindProgram -> flowOf(find(message))
-            is BudgetSpentElsewhere -> flowOf(Done.also { home.table.markSpent(message.program) })
+            is FindTurn -> flowOf(find(message))
+            is LocateProgram -> flowOf(home.directory.locate(message))
+            is RegisterProgram -> flowOf(home.directory.register(message))
+            is ClaimPartitions -> flowOf(home.let { it.registrations.answer(message, isComplete(it)) })
+            is ForgetPrograms -> flowOf(Done.also { home.directory.forget(message) })
+            is CountTokens -> flow { emit(count(message)) }
             is AskPrompt -> flowOf(Prompt(home.table.promptAfter(message.turn)))
             is TakeHome -> flow { emit(takeovers.take(message)) }
             else -> flowOf(Unsupported)
@@ -103,6 +114,7 @@
         meters.show(TurnMeters.WAITING) { gate.waiting }
         meters.show(TurnMeters.PROGRAMS) { home.table.size }
         scope.launch { retainers.run() }
+        scope.launch { homes.run() }
         while (!isLeaving) {
             val current = home
             val taking =
@@ -128,7 +140,19 @@
 
     private fun newHome(): TurnHome {
         val id = HomeId(settings.place.name, settings.name, Incarnation.random())
-        return TurnHome(id, settings.links, settings.place.name, keys, retainers, spent, exchange, time)
+        return TurnHome(
+            id,
+            settings.links,
+            settings.place.name,
+            keys,
+            retainers,
+            spent,
+            exchange,
+            homes,
+            ::isComplete,
+            ::suspect,
+            time,
+        )
     }
 
     private suspend fun FlowCollector<Message>.run(call: RunTurn) {
@@ -148,15 +172,26 @@
     private fun status(): GateStatus =
         GateStatus(home.id, home.isReady && !isLeaving, gate.running, gate.waiting, gate.expectedWait)
 
-    private fun find(message: FindProgram): ProgramFound {
+    private fun find(message: FindTurn): TurnFound =
+        home.let { TurnFound(it.id, it.table.programWithWhole(message.turn) != null, isComplete(it)) }
+
+    /** Whether [home] has all programs of the homes that it takes over. */
+    private fun isComplete(home: TurnHome): Boolean = home.isReady && !hasFormer && !takeovers.isBusy
+
+    /** [other] did not answer, and is taken over unless it lives. */
+    private fun suspect(other: HomeAt) {
+        scope.launch { takeovers.take(TakeHome(other)) }
+    }
+
+    /** Counts tokens that another home handed out. */
+    private suspend fun count(message: CountTokens): Message {
         val home = home
-        return ProgramFound(
-            home = home.id,
-            hasProgram = home.table.has(message.program),
-            tokens = home.table.committedTokens(message.program),
-            hasPrevious = message.previous?.let { home.table.programWithWhole(it) } != null,
-            isComplete = home.isReady && !hasFormer && !takeovers.isBusy,
-        )
+        if (!home.isReady) return Declined("${home.id} is not ready")
+        return try {
+            if (home.count(message)) Done else Declined("the tokens could not be kept in time")
+        } catch (e: HomeEndedException) {
+            Declined(e.message!!)
+        }
     }
 
     /** Hands the programs to another home; false when none takes them now. */
--- a/homes/src/main/kotlin/sycamore/homes/SpentPrograms.kt
+++ b/homes/src/main/kotlin/sycamore/homes/SpentPrograms.kt
@@ -17,7 +17,7 @@
 /**
  * Programs that spent their budgets, as the key-value service names them.
  *
- * Such a program may begin anew when its home is lost. Whichever home it comes to has to know that it was there before.
+ * Such a program may come back to a home that cannot ask the directory where it lived; that home asks here instead.
  */
 internal class SpentPrograms(
     private val keys: KeyValue,
@@ -45,13 +45,10 @@
         }
     }
 
-    /** Reads all names that are written down, again and again until the service answers. */
-    suspend fun read(): List<ProgramName> {
-        while (true) {
-            val read = keys.list(SpentKeys.PREFIX)
-            if (read is Read.Found) return read.value.map { SpentKeys.program(it.key) }
-            delay(RETRY)
-        }
+    /** Whether [program] may be written down: it is, or the service cannot tell now. */
+    suspend fun mayBeMarked(program: ProgramName): Boolean {
+        val read = keys.get(SpentKeys.key(program))
+        return read !is Read.Found || read.value != null
     }
 
     private companion object {
--- a/homes/src/main/kotlin/sycamore/homes/TurnHome.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnHome.kt
@@ -4,11 +4,17 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import sycamore.daemon.homes.HomeList
 import sycamore.daemon.log.event
+import sycamore.links.CountTokens
 import sycamore.links.Exchange
+import sycamore.links.ForgetPrograms
+import sycamore.links.HomeAt
+import sycamore.links.ask
 import sycamore.model.Address
 import sycamore.model.HomeId
 import sycamore.model.PlaceName
+import sycamore.routing.ProgramName
 import sycamore.services.KeyValue
 import sycamore.services.Read
 import sycamore.services.Revision
@@ -37,11 +43,19 @@
     place: PlaceName,
     private val keys: KeyValue,
     private val retainers: RetainerDirectory,
-    private val spent: SpentPrograms,
-    exchange: Exchange,
+    spent: SpentPrograms,
+    private val exchange: Exchange,
+    homes: HomeList,
+    isComplete: (TurnHome) -> Boolean,
+    onSilent: (HomeAt) -> Unit,
     time: TimeSource.WithComparableMarks,
 ) {
     val table = TurnTable(time)
+    private val at = HomeAt(id, address)
+    val registrations = ProgramRegistrations(at, homes, table)
+    val directory =
+        ProgramDirectory(at, homes, exchange, time, { registrations.answer(it, isComplete(this)) }, onSilent)
+    val places = ProgramPlaces(at, table, registrations, directory, spent, exchange, onSilent)
     val journal = HomeJournal(id, keys, time, retainers::choose)
     val retention = RecordRetention(journal, place, exchange, retainers)
 
@@ -53,10 +67,15 @@
     /** Registers the home and does its own work, until it has ended or the caller is cancelled. */
     suspend fun run() {
         register()
-        spent.read().forEach(table::markSpent)
         retainers.isRead.await()
         coroutineScope {
-            val work = listOf(launch { journal.run() }, launch { retention.run() }, launch { dropIdle() })
+            val work =
+                listOf(
+                    launch { journal.run() },
+                    launch { retention.run() },
+                    launch { directory.run() },
+                    launch { dropIdle() },
+                )
             journal.opened.await()
             isReady = true
             logger.info { "home $id serves at $address" }
@@ -87,6 +106,7 @@
                 .filter { it.turn !in ended }
                 .map { TurnBroken(it.program, it.turn, it.reserved) }
         (records + broken).forEach(table::apply)
+        registrations.adopt(records)
         log.forEach { journal.adopt(it.bytes) }
         broken.forEach(journal::append)
         val whole = records.count { it is TurnFinished }
@@ -99,17 +119,45 @@
         )
     }
 
+    /** Counts tokens that another home handed out; false if that could not be kept in time. */
+    suspend fun count(tokens: CountTokens): Boolean {
+        val start = TurnStarted(tokens.program, tokens.turn, null, ByteArray(0), tokens.tokens, isRegistered = true)
+        val end = TurnBroken(tokens.program, tokens.turn, tokens.tokens)
+        listOf(start, end).forEach(table::apply)
+        journal.append(start)
+        return retention.awaitSafe(journal.append(end), COUNT_LIMIT)
+    }
+
     private suspend fun dropIdle() {
         while (true) {
             delay(DROP_PERIOD)
             val dropped = table.dropIdle(KEEP)
-            if (dropped.isNotEmpty()) logger.info { "home $id dropped ${dropped.size} idle programs" }
+            if (dropped.isEmpty()) continue
+            logger.info { "home $id dropped ${dropped.size} idle programs" }
+            registrations.forget(dropped)
+            places.forget(dropped)
+            dropped.groupBy(registrations::ownerOf).forEach { (owner, programs) -> forget(owner, programs) }
+        }
+    }
+
+    /** A directory that keeps a dropped program, since it did not hear of it, only sends its next turn here. */
+    private suspend fun forget(
+        owner: HomeAt?,
+        programs: List<ProgramName>,
+    ) {
+        val message = ForgetPrograms(id, programs)
+        when (owner) {
+            null -> Unit
+            at -> directory.forget(message)
+            else -> exchange.ask(owner.address, message, FORGET_LIMIT)
         }
     }
 
     private companion object {
         val RETRY = 200.milliseconds
         val DROP_PERIOD = 10.seconds
+        val FORGET_LIMIT = 1.seconds
+        val COUNT_LIMIT = 1.seconds
 
         /** Longer than any route keeps a turn, since a program may come back after a final fault. */
         val KEEP: Duration = 5.minutes
--- a/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
@@ -10,6 +10,7 @@
 import sycamore.daemon.log.event
 import sycamore.links.AskPrompt
 import sycamore.links.Exchange
+import sycamore.links.HomeAt
 import sycamore.links.LinkException
 import sycamore.links.Message
 import sycamore.links.Prompt
@@ -46,43 +47,58 @@
     /** Runs [call], unless it is refused. */
     fun run(call: RunTurn): Flow<Message> =
         flow {
-            val base =
-                try {
-                    basePrompt(call)
-                } catch (e: BaseUnknownException) {
-                    return@flow emit(TurnRefused(TurnRefusal.NOT_NOW, e.message!!, LATER))
+            if (!call.isRemembered) return@flow RunningTurn(call, null, call.input, this).run()
+            when (val place = home.places.of(call.program)) {
+                is ProgramPlace.Here -> start(call, place.isRegistered)
+                is ProgramPlace.NotNow -> refuse(call, TurnRefusal.NOT_NOW, place.reason, retryAfter = LATER)
+                is ProgramPlace.Elsewhere -> {
+                    val detail = "the program lives at ${place.home.home}"
+                    refuse(call, TurnRefusal.NOT_HERE, detail, livesAt = place.home)
                 }
-            val request =
-                TurnRequest(
-                    call.program,
-                    call.turn,
-                    call.previous,
-                    call.input,
-                    call.tokenBudget,
-                    call.mostTokens,
-                    call.isVerified,
-                )
-            when (val start = home.table.start(request, base)) {
-                is TurnStart.Admitted -> RunningTurn(call, start.record, this).run()
-                is TurnStart.BudgetSpent ->
-                    refuse(
-                        call,
-                        TurnRefusal.BUDGET_SPENT,
-                        "the budget holds ${start.left} more tokens",
-                    )
-                TurnStart.NoSuchTurn -> refuse(call, TurnRefusal.NO_SUCH_TURN, "no turn ${call.previous} is kept")
-                TurnStart.Unverified ->
-                    emit(
-                        TurnRefused(TurnRefusal.NOT_VERIFIED, "the program has spent its budget at another home"),
-                    )
-                TurnStart.Repeated -> emit(TurnBroke("a turn ${call.turn} was started before"))
             }
         }
 
+    /** Whether a later turn depends on this one: by the program's budget or its history. */
+    private val RunTurn.isRemembered: Boolean get() = keepsHistory || tokenBudget != null
+
+    private suspend fun FlowCollector<Message>.start(
+        call: RunTurn,
+        isRegistered: Boolean,
+    ) {
+        val base =
+            try {
+                basePrompt(call)
+            } catch (e: BaseUnknownException) {
+                return emit(TurnRefused(TurnRefusal.NOT_NOW, e.message!!, LATER))
+            }
+        val request =
+            TurnRequest(
+                call.program,
+                call.turn,
+                call.previous.takeIf { call.keepsHistory },
+                if (call.keepsHistory) call.input else NOTHING,
+                call.tokenBudget,
+                call.mostTokens,
+                isRegistered,
+            )
+        when (val start = home.table.start(request, base)) {
+            is TurnStart.Admitted -> RunningTurn(call, start.record, promptOf(call), this).run()
+            is TurnStart.BudgetSpent ->
+                refuse(call, TurnRefusal.BUDGET_SPENT, "the budget holds ${start.left} more tokens")
+            TurnStart.NoSuchTurn -> refuse(call, TurnRefusal.NO_SUCH_TURN, "no turn ${call.previous} is kept")
+            TurnStart.Repeated -> emit(TurnBroke("a turn ${call.turn} was started before"))
+        }
+    }
+
+    private fun promptOf(call: RunTurn): ByteArray =
+        if (call.keepsHistory) home.table.prompt(call.program, call.turn) else call.input
+
     private suspend fun FlowCollector<Message>.refuse(
         call: RunTurn,
         reason: TurnRefusal,
         detail: String,
+        retryAfter: Duration? = null,
+        livesAt: HomeAt? = null,
     ) {
         meters.refuse(reason.name.lowercase())
         log.event(
@@ -96,10 +112,9 @@
             "most" to call.mostTokens,
         )
         if (reason == TurnRefusal.BUDGET_SPENT) {
-            home.table.markSpent(call.program)
             withTimeoutOrNull(MARK_LIMIT) { spent.mark(call.program) }
         }
-        emit(TurnRefused(reason, detail))
+        emit(TurnRefused(reason, detail, retryAfter, livesAt))
     }
 
     private class BaseUnknownException(
@@ -120,10 +135,15 @@
             ?: throw BaseUnknownException("the home ${at.home} did not tell turn $previous")
     }
 
-    /** A turn that its program's budget holds, until it has ended. */
+    /**
+     * A turn that its program's budget holds, until it has ended.
+     *
+     * @param record of its start; null when nothing of it has to be remembered.
+     */
     private inner class RunningTurn(
         private val call: RunTurn,
-        private val record: TurnStarted,
+        private val record: TurnStarted?,
+        private val prompt: ByteArray,
         private val replies: FlowCollector<Message>,
     ) {
         private val events = EventReader()
@@ -138,7 +158,7 @@
         suspend fun run() {
             var last: Message = TurnBroke("the gate did not answer")
             try {
-                send(call, home.table.prompt(call.program, call.turn)).collect { message ->
+                send(call, prompt).collect { message ->
                     if (message is TurnWhole || message is TurnBroke || message is TurnRefused) last = message
                     take(message)
                 }
@@ -188,7 +208,7 @@
             when (message) {
                 TurnSent -> {
                     sentAfter = arrived.elapsedNow()
-                    start = home.journal.append(record)
+                    start = record?.let(home.journal::append)
                 }
                 is TurnBegun -> {
                     begunAfter = arrived.elapsedNow().also(meters::begin)
@@ -206,24 +226,29 @@
 
         /** Nothing is passed on until the turn's start is kept: else a successor would not count its tokens. */
         private suspend fun pass(message: Message) {
-            val number = start ?: home.journal.append(record).also { start = it }
-            if (!isStartSafe && !home.retention.awaitSafe(number, SAFE_LIMIT)) throw NotKeptException()
-            isStartSafe = true
+            if (record != null && !isStartSafe) {
+                val number = start ?: home.journal.append(record).also { start = it }
+                if (!home.retention.awaitSafe(number, SAFE_LIMIT)) throw NotKeptException()
+                isStartSafe = true
+            }
             replies.emit(message)
         }
 
         /** A turn counts from the end of its answer on, so that has to outlive this process first. */
         private suspend fun finish() {
             if (!events.isBetweenEvents || events.events == 0) throw CutOffException()
-            val record = TurnFinished(call.program, call.turn, events.output, tokens())
-            home.table.apply(record)
             isEnded = true
-            val number = home.journal.append(record)
-            if (!home.retention.awaitSafe(number, SAFE_LIMIT)) throw NotKeptException()
+            if (record == null) return
+            val end = TurnFinished(call.program, call.turn, if (call.keepsHistory) events.output else NOTHING, tokens())
+            home.table.apply(end)
+            val number = home.journal.append(end)
+            // Until the end is kept, a successor counts all tokens that the turn reserved. That breaks no budget.
+            if (call.keepsHistory && !home.retention.awaitSafe(number, SAFE_LIMIT)) throw NotKeptException()
         }
 
         private fun breakOff(last: Message) {
             isEnded = true
+            if (record == null) return
             if (start == null) {
                 home.table.withdraw(call.program, call.turn)
                 return
@@ -247,6 +272,7 @@
 
     private companion object {
         val SUCCESSES = 200..299
+        val NOTHING = ByteArray(0)
 
         /** A first refusal waits for the store for this long: a program whose end is not known could begin anew. */
         val MARK_LIMIT = 300.milliseconds
--- a/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.toList
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
@@ -13,16 +14,16 @@
 import sycamore.homes.HomeFixture.Companion.outcome
 import sycamore.links.AskGate
 import sycamore.links.Declined
-import sycamore.links.FindProgram
+import sycamore.links.FindTurn
 import sycamore.links.GateStatus
 import sycamore.links.HomeAt
 import sycamore.links.HomeTaken
 import sycamore.links.Message
-import sycamore.links.ProgramFound
 import sycamore.links.TakeHome
 import sycamore.links.TurnBytes
+import sycamore.links.TurnFound
+import sycamore.links.TurnRefused
 import sycamore.routing.AttemptId
-import sycamore.routing.ProgramName
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
@@ -60,7 +61,7 @@
     private suspend fun HomeFixture.find(
         number: Int,
         previous: String,
-    ) = exchange(address(number), FindProgram(ProgramName("p"), AttemptId(previous))).first() as ProgramFound
+    ) = exchange(address(number), FindTurn(AttemptId(previous))).first() as TurnFound
 
     @Test
     fun `a turn gets the whole chain before its own input`() =
@@ -232,7 +233,64 @@
             assertEquals("BUDGET_SPENT", fixture.turn(1, "b", "a", budget = 60).outcome())
             fixture.kill(address(1))
             fixture.start(2)
-            assertEquals("NOT_VERIFIED", fixture.turn(2, "c", budget = 60).outcome())
+            assertEquals("BUDGET_SPENT", fixture.turn(2, "c", budget = 60).outcome())
+        }
+
+    @Test
+    fun `a program lives at one home, to which others send its turns`() =
+        home { fixture ->
+            fixture.start(1)
+            fixture.start(2)
+            assertEquals("whole", fixture.turn(1, "a").outcome())
+            val refused = assertIs<TurnRefused>(fixture.turn(2, "b").last())
+            assertEquals(fixture.at(1), refused.livesAt)
+        }
+
+    @Test
+    fun `turns whose client keeps the history count in one budget at whatever home they arrive`() =
+        home { fixture ->
+            fixture.start(1)
+            fixture.start(2)
+            val first = fixture.call(1, "a", budget = 60).copy(keepsHistory = false)
+            assertEquals("whole", fixture.exchange(address(1), first).toList().outcome())
+            assertEquals("in-a;", fixture.prompts["a"])
+            val second = fixture.call(2, "b", budget = 60).copy(keepsHistory = false)
+            val refused = assertIs<TurnRefused>(fixture.exchange(address(2), second).toList().last())
+            assertEquals(fixture.at(1), refused.livesAt)
+            val third = fixture.call(1, "c", budget = 60).copy(keepsHistory = false)
+            assertEquals("BUDGET_SPENT", fixture.exchange(address(1), third).toList().outcome())
+        }
+
+    /** A program had a budget at each gateway that it came by (BUDGET on all days of Coronas del Valle). */
+    @Test
+    fun `the budget of a program whose client keeps the history outlives its home`() =
+        home { fixture ->
+            fixture.start(1)
+            fixture.start(2)
+            val first = fixture.call(1, "a", budget = 60).copy(keepsHistory = false)
+            assertEquals("whole", fixture.exchange(address(1), first).toList().outcome())
+            val lost = fixture.at(1)
+            fixture.kill(address(1))
+            assertIs<HomeTaken>(fixture.take(lost, by = 2))
+            val second = fixture.call(2, "b", budget = 60).copy(keepsHistory = false)
+            assertEquals("BUDGET_SPENT", fixture.exchange(address(2), second).toList().outcome())
+        }
+
+    @Test
+    fun `a program whose directory cannot be asked gets one turn, which counts at its home later`() =
+        home { fixture ->
+            fixture.start(1)
+            fixture.start(2)
+            assertEquals("whole", fixture.turn(1, "a", budget = 100).outcome())
+            val owners = listOf(1, 2).map { address(it) }.filter { it != address(2) }
+            fixture.cut += owners
+            val outcomes = listOf("b", "c").map { fixture.turn(2, it, budget = 100).outcome() }
+            fixture.cut -= owners.toSet()
+            assertTrue(outcomes.count { it == "whole" } <= 1, "$outcomes")
+            val refused = assertIs<TurnRefused>(fixture.turn(2, "d", budget = 100).last())
+            assertEquals(fixture.at(1), refused.livesAt)
+            val last = fixture.turn(1, "e", budget = 60 + 20 * outcomes.count { it == "whole" }.toLong())
+            assertEquals("BUDGET_SPENT", last.outcome())
         }
 
     /** The successor of a home that died before it had merged another one has to find both. */
@@ -356,7 +414,7 @@
             fixture.keys.switch { it.copy(delay = 100.milliseconds) }
             fixture.home(2)
             leaving.stop()
-            assertTrue(fixture.find(2, "a").hasPrevious)
+            assertTrue(fixture.find(2, "a").hasTurn)
         }
 
     @Test
--- a/homes/src/test/kotlin/sycamore/homes/HomeFixture.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeFixture.kt
@@ -168,7 +168,7 @@
         turn = AttemptId(name),
         previous = previous?.let(::AttemptId),
         previousAt = previousAt,
-        isVerified = false,
+        keepsHistory = true,
         target =
             ListedUpstream(
                 UpstreamId("u$number"),
--- a/homes/src/test/kotlin/sycamore/homes/HomeModelTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeModelTest.kt
@@ -8,18 +8,17 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.homes.HomeFixture.Companion.address
 import sycamore.homes.HomeFixture.Companion.outcome
-import sycamore.links.FindProgram
+import sycamore.links.FindTurn
 import sycamore.links.HomeAt
 import sycamore.links.LinkException
 import sycamore.links.Message
-import sycamore.links.ProgramFound
 import sycamore.links.TakeHome
 import sycamore.links.TurnBytes
+import sycamore.links.TurnFound
+import sycamore.links.TurnRefused
 import sycamore.model.Address
 import sycamore.routing.AttemptId
-import sycamore.routing.ProgramName
 import sycamore.services.Read
-import sycamore.turns.HomeEntry
 import sycamore.turns.HomeKeys
 import kotlin.random.Random
 import kotlin.test.Test
@@ -50,6 +49,9 @@
         var handedOut = 0
         var turns = 0
         var isSpent = false
+
+        /** Where it lives, as its caller was told last. */
+        var home: HomeAt? = null
     }
 
     private class Run(
@@ -121,22 +123,35 @@
             turn: String,
             previous: String?,
         ): String {
-            val heard = locate(program, previous) ?: return "not located"
-            val owner = heard.filter { it.second.hasProgram }.maxByOrNull { it.second.tokens }?.first
-            val previousAt = heard.firstOrNull { it.second.hasPrevious }?.first
-            assertTrue(previous == null || previousAt != null, "whole turn $previous is lost; $trace")
-            val home = owner ?: heard.random(random).first
+            val serving = serving()?.ifEmpty { null } ?: return "no home"
+            val previousAt = previous?.let { find(it, serving) ?: return "not found" }
+            val outcome = send(program, turn, previous, previousAt, program.home ?: serving.random(random))
+            check(program, turn, previous, outcome)
+            return outcome
+        }
+
+        /** Sends a turn to [home], and from there to where the program lives. */
+        private suspend fun send(
+            program: Program,
+            turn: String,
+            previous: String?,
+            previousAt: HomeAt?,
+            home: HomeAt,
+        ): String {
             val call = fixture.call(number(home.address), turn, previous, program.name, BUDGET, previousAt)
             val replies = ArrayList<Message>()
             try {
-                fixture.exchange(home.address, call.copy(isVerified = true)).collect { replies += it }
+                fixture.exchange(home.address, call).collect { replies += it }
             } catch (e: LinkException) {
+                program.home = null
                 return "lost: ${e.message}"
             } finally {
                 // Each of the engine's two events comes in one message.
                 program.handedOut += replies.count { it is TurnBytes } * TOKENS_PER_EVENT
             }
-            return replies.outcome().also { check(program, turn, previous, it) }
+            val elsewhere = (replies.lastOrNull() as? TurnRefused)?.livesAt
+            program.home = elsewhere ?: home.takeIf { replies.lastOrNull() !is TurnRefused }
+            return if (elsewhere == null) replies.outcome() else send(program, turn, previous, previousAt, elsewhere)
         }
 
         private fun check(
@@ -153,27 +168,33 @@
             program.whole[turn] = prompt + fixture.events.joinToString("") { "$it\n" }
         }
 
-        /** What all homes say of [program]; null while one of them cannot be heard, which is then taken over. */
-        private suspend fun locate(
-            program: Program,
-            previous: String?,
-        ): List<Pair<HomeAt, ProgramFound>>? {
+        private suspend fun serving(): List<HomeAt>? {
             val entries = (fixture.keys.list(HomeKeys.PREFIX) as? Read.Found ?: return null).value
-            val serving = entries.map { HomeKeys.decode(it.value!!) }.filter { it.successor == null }
-            val message = FindProgram(ProgramName(program.name), previous?.let(::AttemptId))
+            return entries
+                .map { HomeKeys.decode(it.value!!) }
+                .filter { it.successor == null }
+                .map { HomeAt(it.home, it.address) }
+        }
+
+        /** The home that has [turn]; null while a home cannot be heard, which is then taken over. */
+        private suspend fun find(
+            turn: String,
+            serving: List<HomeAt>,
+        ): HomeAt? {
             val heard =
-                serving.map { entry ->
-                    val found = ask(entry.address, message) as? ProgramFound
-                    HomeAt(entry.home, entry.address) to found?.takeIf { it.home == entry.home }
+                serving.map { home ->
+                    val found = ask(home.address, FindTurn(AttemptId(turn))) as? TurnFound
+                    home to found?.takeIf { it.home == home.home }
                 }
+            heard.firstOrNull { it.second?.hasTurn == true }?.let { return it.first }
             heard.filter { it.second == null }.forEach { (lost, _) -> takeOver(lost, serving) }
-            if (heard.any { it.second?.isComplete != true }) return null
-            return heard.map { (home, found) -> home to found!! }
+            assertTrue(heard.any { it.second?.isComplete != true }, "whole turn $turn is lost; $trace")
+            return null
         }
 
         private suspend fun takeOver(
             lost: HomeAt,
-            serving: List<HomeEntry>,
+            serving: List<HomeAt>,
         ) {
             val other = serving.filter { it.home != lost.home }.randomOrNull(random) ?: return
             ask(other.address, TakeHome(lost))
--- a/links/src/main/kotlin/sycamore/links/TurnMessage.kt
+++ b/links/src/main/kotlin/sycamore/links/TurnMessage.kt
@@ -29,7 +29,7 @@
  * Entry to home: run a turn. Answered by [TurnRefused], or by [TurnBegun], [TurnBytes] and [TurnWhole] or [TurnBroke].
  *
  * @property previousAt the home of [previous], if that is not the receiver.
- * @property isVerified whether it is certain that no other home has the program.
+ * @property keepsHistory whether the home composes the prompt from earlier turns; else [input] is all of it.
  * @property target the engine that it shall run at.
  * @property targetHost the daemon beside that engine; null if there is none.
  * @property engineSlots calls that the engine runs at once.
@@ -45,7 +45,7 @@
     val turn: AttemptId,
     val previous: AttemptId?,
     val previousAt: HomeAt?,
-    val isVerified: Boolean,
+    val keepsHistory: Boolean,
     val target: ListedUpstream,
     val targetHost: Address?,
     val engineSlots: Int,
@@ -116,17 +116,15 @@
     /** Another upstream has the address of its target, or the target is gone. */
     TARGET_GONE,
 
-    /** The home is not ready, or has ended. */
+    /** The home is not ready or has ended, or the program lives at another one. */
     NOT_HERE,
-
-    /** The program has spent its budget at another home, which has to be found first. */
-    NOT_VERIFIED,
 }
 
 /**
  * Last reply: the turn did not run and will not.
  *
  * @property retryAfter when it could be served; null if that is not known.
+ * @property livesAt the program's home, if that is known to be another one.
  */
 @Serializable
 @SerialName("turn-refused")
@@ -134,31 +132,7 @@
     val reason: TurnRefusal,
     val detail: String,
     val retryAfter: Duration? = null,
-) : Message
-
-/** Entry to host: does [program] live there, or [previous], a turn that it continues? Answered by [ProgramFound]. */
-@Serializable
-@SerialName("find")
-data class FindProgram(
-    val program: ProgramName,
-    val previous: AttemptId?,
-) : Message
-
-/**
- * Answers [FindProgram].
- *
- * @property home of the daemon.
- * @property tokens of the program that are spent or reserved there.
- * @property isComplete whether it has all programs of the homes that it takes over.
- */
-@Serializable
-@SerialName("found")
-data class ProgramFound(
-    val home: HomeId,
-    val hasProgram: Boolean,
-    val hasPrevious: Boolean,
-    val tokens: Long,
-    val isComplete: Boolean,
+    val livesAt: HomeAt? = null,
 ) : Message
 
 /** Home to home: what is the prompt after [turn]? Answered by [Prompt]. */
@@ -175,13 +149,6 @@
     val bytes: ByteArray?,
 ) : Message
 
-/** Entry to home: [program] has spent its budget at another home. Answered by [Done]. */
-@Serializable
-@SerialName("spent")
-data class BudgetSpentElsewhere(
-    val program: ProgramName,
-) : Message
-
 /** Entry to host: how loaded is its engine? Answered by [GateStatus]. */
 @Serializable
 @SerialName("load?")
--- a/rehearsal/src/main/kotlin/sycamore/rehearsal/Rehearsal.kt
+++ b/rehearsal/src/main/kotlin/sycamore/rehearsal/Rehearsal.kt
@@ -150,10 +150,10 @@
                         request("/turns/1", SampleDocuments.turn("t$number-$it", "p", previous), "input$number;"),
                     )
                 }
-            if (turn != null) {
-                wholeTurns++
-                previous = turn.header("X-Request-Id")
-            }
+            // What is wrong with one turn is wrong with the next ones; the build need not wait for them.
+            if (turn == null) break
+            wholeTurns++
+            previous = turn.header("X-Request-Id")
             val call = untilServed { client(request("/calls/1", SampleDocuments.call("c$number-$it"), "")) }
             if (call?.bodyString() == "done") wholeCalls++
         }
--- a/services/src/main/kotlin/sycamore/services/Watch.kt
+++ b/services/src/main/kotlin/sycamore/services/Watch.kt
@@ -10,14 +10,16 @@
 
 /** What a [watch] yields. */
 sealed interface Watched {
-    /** All keys under the prefix, none deleted. Keys that are not among [items] do not exist. */
+    /** All keys under the prefix at [revision], none deleted. Keys that are not among [items] do not exist. */
     data class Snapshot(
         val items: List<Item>,
+        val revision: Revision,
     ) : Watched
 
-    /** Keys that changed since, in order of their change. */
+    /** Keys that changed since, in order of their change; no change up to [revision] is missing. */
     data class Changes(
         val items: List<Item>,
+        val revision: Revision,
     ) : Watched
 
     /** The service did not answer; the watch goes on by itself. */
@@ -55,7 +57,7 @@
             when (val listed = list(prefix)) {
                 is Read.Found -> {
                     backoff.reset()
-                    emit(Watched.Snapshot(listed.value))
+                    emit(Watched.Snapshot(listed.value, listed.revision))
                     followFrom(prefix, listed.revision, times, time).collect { emit(it) }
                 }
                 is Read.Unreachable -> {
@@ -80,7 +82,7 @@
             val read = changes(prefix, seen, times.wait)
             if (read is Read.Unreachable) emit(Watched.Unreachable(read.reason))
             if (read !is Read.Found || read.revision < seen) return@flow
-            if (read.value.isNotEmpty()) emit(Watched.Changes(read.value))
             seen = maxOf(read.revision, read.value.maxOfOrNull { it.version } ?: seen)
+            if (read.value.isNotEmpty()) emit(Watched.Changes(read.value, seen))
         }
     }
--- a/turns/src/main/kotlin/sycamore/turns/ProgramTurns.kt
+++ b/turns/src/main/kotlin/sycamore/turns/ProgramTurns.kt
@@ -20,9 +20,6 @@
 
     /** A turn of this name was started before. */
     data object Repeated : TurnStart
-
-    /** The program is not here, and has spent its budget at another home. */
-    data object Unverified : TurnStart
 }
 
 /**
@@ -30,7 +27,7 @@
  *
  * @property budget tokens that all turns of the program may generate; null sets no bound.
  * @property most tokens that this turn may generate.
- * @property isVerified whether it is certain that no other home has the program.
+ * @property isRegistered whether the directory of programs names this home.
  */
 data class TurnRequest(
     val program: ProgramName,
@@ -39,7 +36,7 @@
     val input: ByteArray,
     val budget: Long?,
     val most: Long,
-    val isVerified: Boolean = false,
+    val isRegistered: Boolean = false,
 )
 
 /** The turns of one program and what they spent. Not thread-safe. */
@@ -65,6 +62,12 @@
     /** Tokens that were spent or may be spent by turns that have not ended. */
     val committedTokens: Long get() = spent + reserved
 
+    /** Tokens that each turn spent or may spend. */
+    val tokensByTurn: Map<AttemptId, Long> get() =
+        turns.mapValues { (_, turn) ->
+            if (turn.isOpen) turn.reserved else turn.tokens
+        }
+
     /** Turns that have not ended. */
     val open: Set<AttemptId> get() = turns.filterValues { it.isOpen }.keys
 
@@ -94,6 +97,7 @@
                         input = request.input,
                         reserved = request.most,
                         base = base,
+                        isRegistered = request.isRegistered,
                     )
                 apply(record)
                 TurnStart.Admitted(record)
--- a/turns/src/main/kotlin/sycamore/turns/TurnRecord.kt
+++ b/turns/src/main/kotlin/sycamore/turns/TurnRecord.kt
@@ -26,6 +26,7 @@
  * @property input what the caller sent.
  * @property reserved tokens of the budget that the turn may generate at most.
  * @property base prompt of [previous], if that turn lives at another home; null otherwise.
+ * @property isRegistered whether the directory of programs named this home when the turn started.
  */
 @Serializable
 @SerialName("s")
@@ -36,6 +37,7 @@
     @SerialName("i") val input: ByteArray,
     @SerialName("r") val reserved: Long,
     @SerialName("b") val base: ByteArray? = null,
+    @SerialName("g") val isRegistered: Boolean = false,
 ) : TurnRecord
 
 /** A turn was answered whole: its caller may continue from it. [output] is what the next prompt repeats of it. */
--- a/turns/src/main/kotlin/sycamore/turns/TurnTable.kt
+++ b/turns/src/main/kotlin/sycamore/turns/TurnTable.kt
@@ -25,7 +25,6 @@
 
     private val shards = List(SHARDS) { Shard() }
     private val programOf = ConcurrentHashMap<AttemptId, ProgramName>()
-    private val spent = ConcurrentHashMap.newKeySet<ProgramName>()
 
     /** How many programs there are. */
     val size: Int get() = shards.sumOf { shard -> shard.lock.withLock { shard.programs.size } }
@@ -51,7 +50,6 @@
         val inherited = base ?: inheritedPrompt(request)
         return on(request.program) { programs ->
             val isNew = request.program !in programs
-            if (isNew && !request.isVerified && request.program in spent) return@on TurnStart.Unverified
             val entry = programs.getOrPut(request.program) { Entry(ProgramTurns(), time.markNow()) }
             entry.lastUse = time.markNow()
             val start = entry.turns.start(request, inherited)
@@ -88,11 +86,6 @@
         on(program) { it[program]?.turns?.withdraw(turn) }
     }
 
-    /** Remembers that [program] has spent its budget, here or at another home. */
-    fun markSpent(program: ProgramName) {
-        spent += program
-    }
-
     /** Folds [record] in. */
     fun apply(record: TurnRecord) {
         when (record) {
@@ -116,6 +109,19 @@
     /** Tokens of [program] that are spent or reserved. */
     fun committedTokens(program: ProgramName): Long = on(program) { it[program]?.turns?.committedTokens ?: 0 }
 
+    /** Tokens that each turn of [program] spent or may spend. */
+    fun tokensByTurn(program: ProgramName): Map<AttemptId, Long> =
+        on(program) { it[program]?.turns?.tokensByTurn.orEmpty() }
+
+    /** Tokens that each program has spent or reserved, for those whose name [isWanted]. */
+    fun committedTokens(isWanted: (ProgramName) -> Boolean): Map<ProgramName, Long> =
+        shards.fold(HashMap()) { all, shard ->
+            shard.lock.withLock {
+                shard.programs.forEach { (name, entry) -> if (isWanted(name)) all[name] = entry.turns.committedTokens }
+            }
+            all
+        }
+
     /** Drops programs without turns under way that were not used for [idle]; returns their names. */
     fun dropIdle(idle: Duration): Set<ProgramName> =
         shards.flatMapTo(HashSet()) { shard ->
--- a/turns/src/test/kotlin/sycamore/turns/TurnTableTest.kt
+++ b/turns/src/test/kotlin/sycamore/turns/TurnTableTest.kt
@@ -25,7 +25,6 @@
         budget: Long? = 100,
         most: Long = 40,
         of: ProgramName = program,
-        isVerified: Boolean = false,
     ) = TurnRequest(
         of,
         AttemptId(turn),
@@ -33,7 +32,6 @@
         "in-$turn;".encodeToByteArray(),
         budget,
         most,
-        isVerified,
     )
 
     private fun start(request: TurnRequest) = table.start(request)
@@ -106,12 +104,11 @@
     }
 
     @Test
-    fun `a program that spent its budget elsewhere begins here only once its home is certain`() {
-        table.markSpent(program)
-        assertEquals(TurnStart.Unverified, start(request("a")))
-        assertFalse(table.has(program))
-        assertIs<TurnStart.Admitted>(start(request("a", isVerified = true)))
-        assertIs<TurnStart.Admitted>(start(request("b")))
+    fun `each turn tells what it spent or may spend`() {
+        listOf("a", "b").forEach { start(request(it)) }
+        finish("a", tokens = 10)
+        assertEquals(mapOf(AttemptId("a") to 10L, AttemptId("b") to 40L), table.tokensByTurn(program))
+        assertEquals(mapOf(program to 50L), table.committedTokens { it == program })
     }
 
     @Test
