--- a/daemon/src/main/kotlin/sycamore/daemon/homes/HomeView.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/homes/HomeView.kt
@@ -23,16 +23,16 @@
         entries.values.filter { it.successor == null }.map { HomeAt(it.home, it.address) }
     }
 
-    private val owners: List<HomeAt?> by lazy {
+    private val owners: List<HomeAt> by lazy {
         val byId = serving.associateBy { it.home }
-        List(ProgramPartitions.COUNT) { partition -> ProgramPartitions.owner(partition, byId.keys)?.let(byId::get) }
+        ProgramPartitions.owners(byId.keys).map(byId::getValue)
     }
 
     /** Whether [home] is registered and nobody has taken it over. */
     fun serves(home: HomeId): Boolean = entries[home]?.let { it.successor == null } == true
 
     /** The home that keeps the directory of [partition]; null when no home is registered. */
-    fun ownerOf(partition: Int): HomeAt? = owners[partition]
+    fun ownerOf(partition: Int): HomeAt? = owners.getOrNull(partition)
 
     /** The home that serves the programs of [home] now. */
     fun present(home: HomeAt): HomeAt {
--- a/decisions/src/main/kotlin/sycamore/decisions/programs/ProgramPartitions.kt
+++ b/decisions/src/main/kotlin/sycamore/decisions/programs/ProgramPartitions.kt
@@ -16,11 +16,17 @@
     /** The partition of the program called [name]. */
     fun of(name: String): Int = Math.floorMod(hash(name), COUNT)
 
-    /** The owner of [partition] among [homes]; null if there are none. */
-    fun owner(
-        partition: Int,
-        homes: Collection<HomeId>,
-    ): HomeId? = homes.maxWithOrNull(compareBy({ hash("$partition/$it") }, { it.toString() }))
+    /** The owner of each partition among [homes]; empty if there are none. */
+    fun owners(homes: Collection<HomeId>): List<HomeId> {
+        if (homes.isEmpty()) return emptyList()
+        val hashes = homes.sortedBy { it.toString() }.map { it to hash(it.toString()) }
+        return List(COUNT) { partition ->
+            hashes
+                .maxBy { (_, hash) ->
+                    MurmurHash3.hash32(partition.toLong(), hash)
+                }.first
+        }
+    }
 
     private fun hash(text: String): Long = MurmurHash3.hash128x64(text.encodeToByteArray())[0]
 }
--- a/decisions/src/test/kotlin/sycamore/decisions/programs/ProgramPartitionsTest.kt
+++ b/decisions/src/test/kotlin/sycamore/decisions/programs/ProgramPartitionsTest.kt
@@ -6,7 +6,6 @@
 import sycamore.model.PlaceName
 import kotlin.test.Test
 import kotlin.test.assertEquals
-import kotlin.test.assertNull
 import kotlin.test.assertTrue
 
 class ProgramPartitionsTest {
@@ -14,11 +13,10 @@
 
     private fun home(number: Int) = HomeId(PlaceName("p${number % 6}"), HostName("h$number"), Incarnation("i$number"))
 
-    private fun owners(homes: List<HomeId>) =
-        (0 until ProgramPartitions.COUNT).map { ProgramPartitions.owner(it, homes)!! }
+    private fun owners(homes: List<HomeId>) = ProgramPartitions.owners(homes)
 
     @Test
-    fun `a partition without homes has no owner`() = assertNull(ProgramPartitions.owner(0, emptyList()))
+    fun `without homes no partition has an owner`() = assertEquals(emptyList(), owners(emptyList()))
 
     @Test
     fun `every order of the homes gives the same owners`() = assertEquals(owners(homes), owners(homes.reversed()))
--- /dev/null
+++ b/homes/src/test/kotlin/sycamore/homes/ProgramDirectoryModelTest.kt
@@ -0,0 +1,346 @@
+package sycamore.homes
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.emitAll
+import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.flow.flowOf
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.test.testTimeSource
+import sycamore.daemon.homes.HomeList
+import sycamore.links.ClaimPartitions
+import sycamore.links.CountTokens
+import sycamore.links.Declined
+import sycamore.links.Done
+import sycamore.links.Exchange
+import sycamore.links.HomeAt
+import sycamore.links.LinkException
+import sycamore.links.Message
+import sycamore.links.RegisterProgram
+import sycamore.model.Address
+import sycamore.model.HomeId
+import sycamore.model.HostName
+import sycamore.model.Incarnation
+import sycamore.model.PlaceName
+import sycamore.routing.AttemptId
+import sycamore.routing.ProgramName
+import sycamore.services.Item
+import sycamore.services.Read
+import sycamore.services.Revision
+import sycamore.services.Write
+import sycamore.standins.FaultyKeyValue
+import sycamore.standins.KeyValueStore
+import sycamore.turns.HomeEntry
+import sycamore.turns.HomeKeys
+import sycamore.turns.TurnRequest
+import sycamore.turns.TurnStarted
+import sycamore.turns.TurnTable
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Programs that come to random homes, while homes are killed, frozen, cut off from the store, taken over and replaced, in
+ * virtual time. No program may have two homes.
+ */
+class ProgramDirectoryModelTest {
+    @Test
+    fun `a program has one home at most, whatever homes join, leave, freeze or are cut off`() {
+        for (seed in 1..SEEDS) play(seed, homes = 12, faults = 25)
+    }
+
+    @Test
+    fun `a hundred homes agree on where programs live`() = play(seed = 1, homes = 100, faults = 12)
+
+    @Test
+    fun `a lost home stops only programs of its own partitions`() =
+        runTest {
+            val run = Run(this, Random(1))
+            repeat(60) { run.start("h$it") }
+            delay(2.seconds)
+            val lost = run.live.first()
+            lost.stop()
+            val others = run.live.filter { it !== lost }
+            val places = (1..400).map { others[it % others.size].places.of(ProgramName("q$it")) }
+            val waiting = places.count { it != ProgramPlace.Here(isRegistered = true) }
+            assertTrue(waiting <= 400 / 20, "$waiting of 400 new programs wait for one lost home of 60")
+        }
+
+    @Test
+    fun `a new program costs one message, however many homes there are`() =
+        runTest {
+            val run = Run(this, Random(1))
+            repeat(200) { run.start("h$it") }
+            delay(2.seconds)
+            val before = run.messages
+            repeat(100) {
+                run.live
+                    .random(Random(it))
+                    .places
+                    .of(ProgramName("q$it"))
+            }
+            assertTrue(run.messages - before <= 100, "${run.messages - before} messages for 100 programs")
+        }
+
+    private fun play(
+        seed: Int,
+        homes: Int,
+        faults: Int,
+    ) = try {
+        runTest { Run(this, Random(seed)).play(homes, faults) }
+    } catch (e: Throwable) {
+        throw AssertionError("seed $seed: ${e.message}", e)
+    }
+
+    /** What of a home the directory concerns. */
+    private inner class Node(
+        private val run: Run,
+        val host: String,
+        number: Int,
+    ) {
+        private val scope = run.childScope()
+        val id = HomeId(PlaceName("p"), HostName(host), Incarnation("i$number"))
+        val at = HomeAt(id, Address("10.${number / 200}.0.${number % 200}", 1))
+        private val keys = run.viewOfStore(this)
+        private val list = HomeList(keys)
+        val table = TurnTable(run.time)
+        val registrations = ProgramRegistrations(at, list, table)
+
+        private var takeovers = 0
+
+        /** Whether it has all programs of homes that it takes over. */
+        private val isComplete get() = takeovers == 0
+        private val exchange: Exchange = { to, message -> run.deliver(this, to, message) }
+        val directory =
+            ProgramDirectory(at, list, exchange, run.time, { registrations.answer(it, isComplete) }) { }
+        val places =
+            ProgramPlaces(at, table, registrations, directory, SpentPrograms(keys, scope), exchange) { }
+
+        suspend fun start() {
+            assertTrue(
+                run.store.put(
+                    HomeKeys.key(id),
+                    HomeKeys.encode(HomeEntry(id, at.address)),
+                    Revision.ABSENT,
+                ) is Write.Taken,
+            )
+            scope.launch { list.run() }
+            scope.launch { directory.run() }
+        }
+
+        fun stop() = scope.cancel()
+
+        fun serve(message: Message): Flow<Message> =
+            flowOf(
+                when (message) {
+                    is RegisterProgram -> directory.register(message)
+                    is ClaimPartitions -> registrations.answer(message, isComplete)
+                    is CountTokens -> Done
+                    else -> Declined("unexpected")
+                },
+            )
+
+        /** Takes over the programs of [lost], whose records outlive it. */
+        suspend fun takeOver(lost: Node) {
+            takeovers++
+            val key = HomeKeys.key(lost.id)
+            val item = (run.store.get(key) as Read.Found<Item?>).value!!
+            val entry = HomeEntry(lost.id, lost.at.address, id, at.address)
+            assertTrue(run.store.put(key, HomeKeys.encode(entry), item.version) is Write.Taken)
+            run.ended += lost
+            delay(run.random.nextInt(400).milliseconds)
+            run.records.filterValues { it === lost }.keys.toList().forEach { record ->
+                table.apply(record)
+                run.records[record] = this
+            }
+            registrations.adopt(
+                run.records
+                    .filterValues { it === this }
+                    .keys
+                    .toList(),
+            )
+            takeovers--
+        }
+    }
+
+    private inner class Run(
+        private val test: TestScope,
+        val random: Random,
+    ) {
+        val time = test.testTimeSource
+        val store = KeyValueStore(time)
+        val live = ArrayList<Node>()
+
+        /** Homes that were taken over. */
+        val ended = HashSet<Node>()
+
+        /** Start records of turns, and whose log has them. */
+        val records = HashMap<TurnStarted, Node>()
+        var messages = 0
+        private val frozen = HashSet<Node>()
+        private val storeless = HashSet<Node>()
+        private val trace = ArrayList<String>()
+        private var number = 0
+        private var turns = 0
+
+        suspend fun play(
+            homes: Int,
+            faults: Int,
+        ) {
+            repeat(homes) { start("h$it") }
+            coroutineScope {
+                val callers = launch { repeat(CALLERS) { launch { while (true) call() } } }
+                repeat(faults) { fault() }
+                heal()
+                delay(5.seconds)
+                callers.cancel()
+            }
+            settle()
+        }
+
+        suspend fun start(host: String) = Node(this, host, number++).also { live += it }.start()
+
+        private suspend fun fault() {
+            delay(random.nextInt(20, 600).milliseconds)
+            val node = live.randomOrNull(random) ?: return start("new$number")
+            trace += "${test.currentTime} ms: a fault at ${node.id}"
+            when (random.nextInt(6)) {
+                0 -> lose(node)
+                1 -> replace(node)
+                2 -> during(frozen, node)
+                3 -> during(storeless, node)
+                4 -> start("new$number")
+                else -> repeat(3) { live.randomOrNull(random)?.let { lose(it) } }
+            }
+        }
+
+        /** [node] is lost, and another home takes over some time later. */
+        private fun lose(node: Node) {
+            if (!live.remove(node)) return
+            node.stop()
+            succeed(node)
+        }
+
+        private fun succeed(node: Node) {
+            test.backgroundScope.launch {
+                delay(random.nextInt(1500).milliseconds)
+                while (live.isEmpty()) delay(100.milliseconds)
+                live.random(random).takeOver(node)
+            }
+        }
+
+        private suspend fun replace(node: Node) {
+            lose(node)
+            start(node.host)
+        }
+
+        /** [node] is in [faulty] for a while; it may be taken over meanwhile, and goes on without knowing. */
+        private fun during(
+            faulty: MutableSet<Node>,
+            node: Node,
+        ) {
+            test.backgroundScope.launch {
+                faulty += node
+                if (random.nextBoolean() && faulty === frozen && live.remove(node)) succeed(node)
+                delay(random.nextInt(100, 3000).milliseconds)
+                faulty -= node
+            }
+        }
+
+        private suspend fun heal() {
+            delay(4.seconds)
+            repeat(2) { start("late$it") }
+        }
+
+        private suspend fun call() {
+            delay(random.nextInt(5, 200).milliseconds)
+            val node = live.filter { it !in frozen }.randomOrNull(random) ?: return
+            val program = ProgramName("q${random.nextInt(PROGRAMS)}")
+            val place = node.places.of(program)
+            if (place !is ProgramPlace.Here || node in frozen || node in ended) return
+            val turn = AttemptId("t${turns++}")
+            val request = TurnRequest(program, turn, null, ByteArray(0), null, 1, place.isRegistered)
+            node.table.start(request)
+            records[TurnStarted(program, turn, null, ByteArray(0), 1, isRegistered = place.isRegistered)] = node
+            if (place.isRegistered) check(program, node)
+        }
+
+        private fun check(
+            program: ProgramName,
+            node: Node,
+        ) {
+            val homes = live.filter { it !in ended && it.registrations.has(program) }.map { it.id }
+            assertTrue(homes.all { it == node.id }, "$program lives at $homes; $trace")
+        }
+
+        /** Once all is well again, every home is told the same of each program. */
+        private suspend fun settle() {
+            for (program in (0 until PROGRAMS).map { ProgramName("q$it") }) {
+                val homes =
+                    live.map { node ->
+                        when (val place = node.places.of(program)) {
+                            is ProgramPlace.Here -> node.id.takeIf { place.isRegistered }
+                            is ProgramPlace.Elsewhere -> place.home.home
+                            is ProgramPlace.NotNow -> null
+                        }
+                    }
+                assertTrue(homes.distinct().size == 1 && homes.first() != null, "$program lives at $homes; $trace")
+            }
+        }
+
+        fun childScope() =
+            CoroutineScope(
+                test.backgroundScope.coroutineContext + SupervisorJob(test.backgroundScope.coroutineContext[Job]),
+            )
+
+        fun deliver(
+            from: Node,
+            to: Address,
+            message: Message,
+        ): Flow<Message> =
+            flow {
+                messages++
+                delay(random.nextInt(1, 24).milliseconds)
+                val node = live.find { it.at.address == to } ?: throw LinkException("$to is down", sent = false)
+                thaw(node)
+                val replies = node.serve(message)
+                delay(random.nextInt(1, 24).milliseconds)
+                thaw(from)
+                emitAll(replies)
+            }
+
+        private suspend fun thaw(node: Node) {
+            while (node in frozen) delay(10.milliseconds)
+        }
+
+        /** The store as [node] reaches it. */
+        fun viewOfStore(node: Node): FaultyKeyValue =
+            FaultyKeyValue(store, time).also { keys ->
+                test.backgroundScope.launch {
+                    while (true) {
+                        val isAway = node in storeless || node in frozen
+                        keys.switch { it.copy(down = isAway, delay = if (isAway) Duration.ZERO else LATENCY) }
+                        delay(20.milliseconds)
+                    }
+                }
+            }
+    }
+
+    private companion object {
+        const val SEEDS = 60
+        const val CALLERS = 6
+        const val PROGRAMS = 40
+        val LATENCY = 4.milliseconds
+    }
+}
