Ask a few engines for their load when a choice needs it, instead of all of them all the time

Cause: each gateway asked the daemon beside each engine every 400 ms, 1,015 questions a second on the deployment of 55 hosts and growing with the square. Loads now come with the ends of turns; a choice asks up to three engines of its own place, and three farther ones only when those here are loaded. Ruled out: a shorter list polled by each gateway, which still grows with gateways times engines of a place.

--- a/gateway/src/main/kotlin/sycamore/gateway/EngineChoice.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/EngineChoice.kt
@@ -1,25 +1,35 @@
 package sycamore.gateway
 
+import sycamore.decisions.turns.Distance
+import sycamore.decisions.turns.EngineLoad
+import sycamore.decisions.turns.EnginePlacement
 import sycamore.links.HomeAt
+import sycamore.model.Place
 import sycamore.model.PlaceName
+import sycamore.model.RegionName
 import sycamore.model.ServiceName
 import sycamore.routing.UpstreamId
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
+import kotlin.random.Random
 
-/** Which engine a turn goes to, for callers of [place]. */
+/**
+ * Which engine a turn goes to, for callers of [place].
+ *
+ * @param regions the region of each place.
+ */
 internal class EngineChoice(
-    private val place: PlaceName,
-    private val board: GateBoard,
+    private val place: Place,
+    private val regions: Map<PlaceName, RegionName>,
+    private val board: EngineBoard,
+    private val random: Random = Random.Default,
 ) {
-    /** Where a new program of [service] lives: beside the best engine but those [excluded]; null when none takes turns. */
-    fun newHome(
+    /** Where a new program of [service] lives: beside a good engine but those [excluded]; null when none takes turns. */
+    suspend fun newHome(
         service: ServiceName,
         excluded: Set<UpstreamId>,
     ): HomeAt? = best(service, excluded)?.let { HomeAt(it.status!!.home, it.address) }
 
-    /** The engine beside [home] if it takes turns of [service], or else the best other one. */
-    fun target(
+    /** The engine beside [home] if it takes turns of [service], or else a good other one. */
+    suspend fun target(
         home: HomeAt,
         service: ServiceName,
         excluded: Set<UpstreamId>,
@@ -28,13 +38,21 @@
         return own ?: best(service, excluded)
     }
 
-    private fun best(
+    /** Compares a few engines of this place, and a few farther ones if those are loaded. */
+    private suspend fun best(
         service: ServiceName,
         excluded: Set<UpstreamId>,
-    ): EngineHost? =
-        board.all
-            .filter { takesTurns(it, service, excluded) && it.status?.isReady == true }
-            .minByOrNull(::cost)
+    ): EngineHost? {
+        val byDistance = board.all.filter { takesTurns(it, service, excluded) }.groupBy(::distance)
+        var best: EngineLoad<EngineHost>? = null
+        for (distance in Distance.entries) {
+            val hosts = byDistance[distance] ?: continue
+            if (best != null && EnginePlacement.isGoodEnough(best, distance)) break
+            val sample = board.refresh(hosts.shuffled(random).take(EnginePlacement.SAMPLE))
+            best = EnginePlacement.best(listOfNotNull(best) + sample.mapNotNull(::load))
+        }
+        return best?.engine
+    }
 
     private fun takesTurns(
         host: EngineHost,
@@ -42,18 +60,16 @@
         excluded: Set<UpstreamId>,
     ): Boolean = !host.upstream.isLeaving && host.upstream.service == service && host.upstream.id !in excluded
 
-    private fun cost(host: EngineHost): Duration {
-        val status = host.status!!
-        val distance = if (host.upstream.place == place) Duration.ZERO else DISTANCE
-        val load = LOAD * (status.running + status.waiting + host.placed)
-        return status.wait + distance + load
-    }
-
-    private companion object {
-        /** What an engine in another region costs in time: the way there and back, and bytes that are paid for. */
-        val DISTANCE = 60.milliseconds
+    private fun distance(host: EngineHost): Distance =
+        when {
+            host.upstream.place == place.name -> Distance.SAME_PLACE
+            regions[host.upstream.place] == place.region -> Distance.SAME_REGION
+            else -> Distance.OTHER_REGION
+        }
 
-        /** What each turn at an engine adds to the time of another. */
-        val LOAD = 6.milliseconds
+    /** The load of [host]; null when its daemon takes no turns, or did not answer. */
+    private fun load(host: EngineHost): EngineLoad<EngineHost>? {
+        val status = host.status?.takeIf { it.isReady } ?: return null
+        return EngineLoad(host, distance(host), status.wait, status.running + status.waiting + host.placed)
     }
 }
--- a/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
@@ -47,12 +47,13 @@
     private val routes = RoutesInForce(keys)
     private val upstreams = UpstreamDirectory(keys, time)
 
-    private val board = GateBoard(upstreams, routes, exchange, settings.firstPort, time)
+    private val board = EngineBoard(upstreams, routes, exchange, settings.firstPort, time)
     private val background = Background()
     private val homeList = HomeList(keys)
     private val homes = ProgramHomes(settings.place.name, board, homeList, exchange, background, time)
     private val plain = PlainCalls(upstreams, UpstreamLoads(settings.place.name, time), callUpstream)
-    private val turns = TurnCalls(settings.place.name, homes, board, ::engine, exchange, meters, time)
+    private val choice = EngineChoice(settings.place, settings.places, board)
+    private val turns = TurnCalls(homes, choice, board, ::engine, exchange, meters, time)
 
     /** Whether callers may be sent here. */
     val isReady: Boolean get() = routes.table.value != null && upstreams.isRead
@@ -63,7 +64,6 @@
             launch { routes.run() }
             launch { upstreams.run(this) }
             launch { homeList.run() }
-            launch { board.run() }
             launch { background.run() }
             while (true) {
                 delay(SWEEP)
--- a/gateway/src/main/kotlin/sycamore/gateway/ProgramHomes.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/ProgramHomes.kt
@@ -63,7 +63,7 @@
 /** Finds the homes of programs, and has lost homes taken over. */
 internal class ProgramHomes(
     private val place: PlaceName,
-    private val board: GateBoard,
+    private val board: EngineBoard,
     private val list: HomeList,
     private val exchange: Exchange,
     private val background: Background,
@@ -182,13 +182,13 @@
 
     private suspend fun order(lost: HomeAt): HomeAt? {
         val candidates =
-            board.all
-                .filter { it.status?.isReady == true && it.status.home != lost.home }
+            list.serving
+                .filter { it.home != lost.home }
                 .sortedWith(
                     compareBy(
                         { it.address != lost.address },
-                        { it.upstream.isLeaving },
-                        { it.upstream.place != place },
+                        { board.at(it.address)?.upstream?.isLeaving != false },
+                        { it.home.place != place },
                         { (lost.home.toString() + it.address).hashCode() },
                     ),
                 )
--- a/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
@@ -17,7 +17,6 @@
 import sycamore.links.TurnRefusal
 import sycamore.links.TurnRefused
 import sycamore.links.TurnWhole
-import sycamore.model.PlaceName
 import sycamore.routing.AttemptId
 import sycamore.routing.EngineProfile
 import sycamore.routing.ProgramName
@@ -30,16 +29,14 @@
 
 /** Sends turns of programs to their homes and passes the answers on. */
 internal class TurnCalls(
-    place: PlaceName,
     private val homes: ProgramHomes,
-    private val board: GateBoard,
+    private val choice: EngineChoice,
+    private val board: EngineBoard,
     private val engines: (AcceptedCall) -> EngineProfile?,
     private val exchange: Exchange,
     private val meters: CallMeters,
     private val time: TimeSource,
 ) {
-    private val choice = EngineChoice(place, board)
-
     /** Serves [call], a turn of [program] named [turn]. */
     suspend fun serve(
         caller: CallerExchange,
@@ -232,6 +229,7 @@
                 }
                 is TurnBytes -> caller.write(reply.bytes)
                 is TurnWhole -> {
+                    reply.load?.let { board.learn(home.address, it) }
                     caller.end()
                     return true
                 }
--- a/homes/src/main/kotlin/sycamore/homes/EngineCall.kt
+++ b/homes/src/main/kotlin/sycamore/homes/EngineCall.kt
@@ -68,7 +68,7 @@
 
     private fun finish(): Message {
         val answer = head ?: return TurnBroke("the engine's answer has no head")
-        return if (answer.isNotRun) refusal(answer) else TurnWhole
+        return if (answer.isNotRun) refusal(answer) else TurnWhole()
     }
 
     private fun refusal(answer: AnswerHead): TurnRefused =
--- a/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.flow.firstOrNull
 import kotlinx.coroutines.flow.flow
 import kotlinx.coroutines.flow.flowOf
+import kotlinx.coroutines.flow.map
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.daemon.homes.HomeList
@@ -41,6 +42,7 @@
 import sycamore.links.TurnFound
 import sycamore.links.TurnRefusal
 import sycamore.links.TurnRefused
+import sycamore.links.TurnWhole
 import sycamore.links.Unsupported
 import sycamore.model.HomeId
 import sycamore.model.HostName
@@ -163,7 +165,8 @@
         }
         turns.incrementAndGet()
         try {
-            emitAll(TurnRunner(home, gates::send, exchange, spent, meters, time).run(call))
+            val replies = TurnRunner(home, gates::send, exchange, spent, meters, time).run(call)
+            emitAll(replies.map { if (it is TurnWhole) TurnWhole(status()) else it })
         } finally {
             turns.decrementAndGet()
         }
--- a/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
@@ -219,7 +219,7 @@
                     if (isSuccess) events.read(message.bytes)
                     pass(message)
                 }
-                TurnWhole -> if (isSuccess) finish()
+                is TurnWhole -> if (isSuccess) finish()
                 else -> Unit
             }
         }
--- a/homes/src/test/kotlin/sycamore/homes/HomeFixture.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeFixture.kt
@@ -216,7 +216,7 @@
         /** The last reply of a turn. */
         fun List<Message>.outcome(): String =
             when (val last = last()) {
-                TurnWhole -> "whole"
+                is TurnWhole -> "whole"
                 is TurnBroke -> "broke"
                 is TurnRefused -> last.reason.name
                 else -> "none"
--- a/links/src/main/kotlin/sycamore/links/TurnMessage.kt
+++ b/links/src/main/kotlin/sycamore/links/TurnMessage.kt
@@ -89,10 +89,16 @@
     val bytes: ByteArray,
 ) : Message
 
-/** Last reply: the answer is whole, and the turn can be continued. */
+/**
+ * Last reply: the answer is whole, and the turn can be continued.
+ *
+ * @property load of the sender's engine, as [GateStatus] tells it to those who ask; null if the sender is not the home.
+ */
 @Serializable
 @SerialName("turn-whole")
-data object TurnWhole : Message
+data class TurnWhole(
+    val load: GateStatus? = null,
+) : Message
 
 /** Last reply: the answer broke off. The turn may have run. */
 @Serializable
