Pause a watch after a change, so that changes in series cost one call

Cause: a list of homes that changes fourteen times at a start was read fourteen times by each of its followers; each call to the store is paid for. Test: changes that come in series cost few calls (failed before: one call for each change).

--- a/services/src/main/kotlin/sycamore/services/Watch.kt
+++ b/services/src/main/kotlin/sycamore/services/Watch.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.flow
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
@@ -33,10 +34,12 @@
  *
  * @property wait how long the service may hold a call while nothing changes.
  * @property relist how often all keys are read again, against a service that lost its revisions unnoticed.
+ * @property pause after a change, so that changes which come in series cost one call.
  */
 data class WatchTimes(
     val wait: Duration = 30.seconds,
     val relist: Duration = 10.minutes,
+    val pause: Duration = 250.milliseconds,
 )
 
 /**
@@ -83,6 +86,9 @@
             if (read is Read.Unreachable) emit(Watched.Unreachable(read.reason))
             if (read !is Read.Found || read.revision < seen) return@flow
             seen = maxOf(read.revision, read.value.maxOfOrNull { it.version } ?: seen)
-            if (read.value.isNotEmpty()) emit(Watched.Changes(read.value, seen))
+            if (read.value.isNotEmpty()) {
+                emit(Watched.Changes(read.value, seen))
+                delay(times.pause)
+            }
         }
     }
--- a/standins/src/test/kotlin/sycamore/standins/WatchTest.kt
+++ b/standins/src/test/kotlin/sycamore/standins/WatchTest.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.test.runTest
 import kotlinx.coroutines.test.testTimeSource
 import sycamore.services.Backoff
+import sycamore.services.CallKind
 import sycamore.services.Item
 import sycamore.services.KeyValue
 import sycamore.services.Revision
@@ -20,6 +21,7 @@
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
@@ -61,6 +63,25 @@
         assertIs<Write.Taken>(put(key, value.encodeToByteArray(), expected))
     }
 
+    /** Each restart of many hosts changes the list of homes several times (store calls on days of 55 hosts). */
+    @Test
+    fun `changes that come in series cost few calls`() =
+        runTest {
+            val store = KeyValueStore(testTimeSource)
+            val counted = keyValueClient(store) { time = testTimeSource }
+            val follower = follow(counted)
+            delay(1.seconds)
+            val before = counted.counts.of(CallKind.WATCH)
+            repeat(50) {
+                store.write("a/$it", "x")
+                delay(10.milliseconds)
+            }
+            delay(1.seconds)
+            assertEquals(50, follower.state.size)
+            val calls = counted.counts.of(CallKind.WATCH) - before
+            assertTrue(calls <= 5, "$calls calls for 50 changes within half a second")
+        }
+
     @Test
     fun `changes during an outage of hours are seen after it`() =
         runTest {
