Bound answers without end; close idle connections only between requests; one timer for all links

Each link had a timer of its own, five wake-ups a second at either end; one loop checks all of them. Homes ask only the retainers that they name and two more, not all.

--- a/forwarding/src/main/kotlin/sycamore/forwarding/CallerServer.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/CallerServer.kt
@@ -23,7 +23,6 @@
 import sycamore.daemon.Program
 import sycamore.model.Address
 import sycamore.routing.CallerLimits
-import java.util.concurrent.ConcurrentHashMap
 import kotlin.coroutines.CoroutineContext
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -43,7 +42,7 @@
 ) : AutoCloseable {
     private val scope = CoroutineScope(context + SupervisorJob(context[Job]))
     private val server = Server(QueuedThreadPool(MAX_THREADS, MIN_THREADS))
-    private val busy = ConcurrentHashMap.newKeySet<EndPoint>()
+    private val open = OpenRequests<EndPoint>()
     private val http = HttpConfiguration().apply { sendServerVersion = false }
     private val connector = ServerConnector(server, 1, 1, HttpConnectionFactory(http))
 
@@ -69,7 +68,7 @@
         isLeaving = true
         connector.close()
         while (connector.connectedEndPoints.isNotEmpty()) {
-            connector.connectedEndPoints.filter { it !in busy }.forEach { it.close() }
+            open.closeIdle(connector.connectedEndPoints).forEach { it.close() }
             delay(CHECK)
         }
     }
@@ -89,9 +88,12 @@
             endPoint.idleTimeout = limits().idleTimeout.inWholeMilliseconds
             val exchange = CallerExchange(request, response, callback)
             if (isLeaving) exchange.closeAfterwards()
-            busy += endPoint
+            if (!open.begin(endPoint)) {
+                exchange.cut("the connection is being closed")
+                return true
+            }
             val job = scope.launch(start = CoroutineStart.LAZY) { attempt(exchange) }
-            job.invokeOnCompletion { busy -= endPoint }
+            job.invokeOnCompletion { open.end(endPoint) }
             job.start()
             return true
         }
--- a/forwarding/src/main/kotlin/sycamore/forwarding/PlatformDaemon.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/PlatformDaemon.kt
@@ -152,15 +152,18 @@
         /** What is left of the time before the process is killed, for its last log lines. */
         private val STOP_RESERVE = 300.milliseconds
 
-        /** A lost peer is noticed within 1.5 s, half of the time that callers of turns wait. */
+        /**
+         * A lost peer is noticed within 1.5 s, half of the time that callers of turns wait. A link without exchanges is not
+         * watched more closely than it takes to drop it in the end, as daemons have many of these.
+         */
         private val LINKS =
             LinkBounds(
                 handshake = 1.seconds,
                 activePing = 400.milliseconds,
                 activeSilence = 1500.milliseconds,
-                idlePing = 2.seconds,
-                idleSilence = 6.seconds,
-                idleClose = 300.seconds,
+                idlePing = 20.seconds,
+                idleSilence = 60.seconds,
+                idleClose = 15.seconds,
                 write = 2.seconds,
             )
 
--- a/forwarding/src/main/kotlin/sycamore/forwarding/StoreHttp.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/StoreHttp.kt
@@ -31,6 +31,7 @@
             HttpClient(HttpClientTransportOverHTTP(ProbingConnector())).apply {
                 executor = QueuedThreadPool(MAX_THREADS, MIN_THREADS)
                 isFollowRedirects = false
+                maxResponseHeadersSize = UpstreamClient.MAX_HEAD_BYTES
                 start()
             }
         return { request -> call(client, request) }
--- a/forwarding/src/main/kotlin/sycamore/forwarding/UpstreamClient.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/UpstreamClient.kt
@@ -80,6 +80,7 @@
             this.idleTimeout = idleTimeout.inWholeMilliseconds
             executor = QueuedThreadPool(MAX_THREADS, MIN_THREADS)
             userAgentField = null
+            maxResponseHeadersSize = MAX_HEAD_BYTES
             start()
             contentDecoderFactories.clear()
             protocolHandlers.clear()
@@ -150,24 +151,27 @@
         }
     }
 
-    private companion object {
+    internal companion object {
         /** Jetty tells the state of a closed connection object by object, which no reader of a log wants. */
-        fun reason(failure: Throwable): String =
+        private fun reason(failure: Throwable): String =
             when (failure) {
                 is EOFException -> "the connection was closed before the whole answer"
                 else -> failure.message?.substringBefore(" on HttpConnection") ?: failure.toString()
             }
 
         /** The farthest upstream is 24 ms away there and back; a lost first packet is sent again after a second. */
-        val CONNECT_TIMEOUT = 1200.milliseconds
+        private val CONNECT_TIMEOUT = 1200.milliseconds
 
         /** An upstream closes idle connections by itself; this only bounds what is left of those that vanished. */
-        val IDLE_TIMEOUT = 30.seconds
+        private val IDLE_TIMEOUT = 30.seconds
+
+        /** Several times what an upstream sends; a head that is longer may have no end. */
+        const val MAX_HEAD_BYTES = 64 * 1024
 
         /** Below what an upstream accepts from all callers together. */
-        const val MAX_CONNECTIONS = 64
+        private const val MAX_CONNECTIONS = 64
 
-        const val MAX_THREADS = 8
-        const val MIN_THREADS = 2
+        private const val MAX_THREADS = 8
+        private const val MIN_THREADS = 2
     }
 }
--- a/gateway/src/main/kotlin/sycamore/gateway/PlainCalls.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/PlainCalls.kt
@@ -1,18 +1,10 @@
 package sycamore.gateway
 
-import kotlinx.coroutines.withTimeoutOrNull
-import sycamore.forwarding.AnswerEvent
 import sycamore.forwarding.CallUpstream
 import sycamore.forwarding.CallerExchange
-import sycamore.forwarding.UpstreamException
-import sycamore.forwarding.UpstreamRequest
-import sycamore.platform.AnswerHead
-import sycamore.platform.CallHeaders
-import sycamore.platform.Header
 import sycamore.routing.ListedUpstream
 import sycamore.routing.Repeat
 import sycamore.routing.UpstreamId
-import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -22,25 +14,6 @@
     private val loads: UpstreamLoads,
     private val callUpstream: CallUpstream,
 ) {
-    /** How one attempt ended. */
-    private sealed interface Attempt {
-        class Answered(
-            val status: Int,
-            val headers: List<Header>,
-            val body: ByteArray,
-        ) : Attempt
-
-        /** The upstream did not run the call. */
-        class NotRun(
-            val reason: String,
-        ) : Attempt
-
-        /** The upstream may have run the call. */
-        class Broke(
-            val reason: String,
-        ) : Attempt
-    }
-
     /** Serves [call]. */
     suspend fun serve(
         exchange: CallerExchange,
@@ -48,7 +21,7 @@
     ) {
         val tried = HashSet<UpstreamId>()
         var sends = 0
-        var last: Attempt = Attempt.NotRun("no upstream of ${call.service} takes calls")
+        var last: AttemptEnd = AttemptEnd.NotRun("no upstream of ${call.service} takes calls")
         var mayHaveRun = false
         while (sends < call.route.attempts && tried.size < MAX_TRIED) {
             val open = upstreams.of(call.service).filter { it.id !in tried }
@@ -59,10 +32,10 @@
             call.trace.upstream = upstream.id
             call.trace.sends++
             val mayRepeat = call.route.repeat == Repeat.IDEMPOTENT && sends + 1 < call.route.attempts
-            last = attempt(call, upstream, left, if (mayRepeat) left / 2 else left)
-            if (last is Attempt.NotRun) continue
+            last = attempt(exchange, call, upstream, if (mayRepeat) left / 2 else left)
+            if (last is AttemptEnd.NotRun) continue
             sends++
-            if (last is Attempt.Answered) break
+            if (last is AttemptEnd.Answered || last is AttemptEnd.CutOff) break
             mayHaveRun = true
             if (!mayRepeat) break
         }
@@ -72,88 +45,48 @@
     private suspend fun answer(
         exchange: CallerExchange,
         call: AcceptedCall,
-        last: Attempt,
+        last: AttemptEnd,
         mayHaveRun: Boolean,
     ) {
-        when {
-            last is Attempt.Answered -> exchange.answer(last.status, last.headers, last.body)
-            !mayHaveRun -> {
-                val reason = (last as? Attempt.NotRun)?.reason ?: "no time is left"
-                call.trace.detail = reason
-                exchange.answer(OwnAnswer.NOT_RUN, reason, call.head.id, RETRY_AFTER)
-            }
-            call.timeLeft <= Duration.ZERO -> {
-                call.trace.detail = "${call.trace.upstream} did not answer in time"
-                exchange.answer(OwnAnswer.TOO_LATE, "no answer came in time", call.head.id)
-            }
-            else -> {
-                val reason = (last as? Attempt.Broke)?.reason ?: "no upstream is left"
-                call.trace.detail = reason
-                exchange.answer(OwnAnswer.BROKEN, reason, call.head.id)
+        val reason =
+            when (last) {
+                AttemptEnd.Answered -> return
+                is AttemptEnd.CutOff -> last.reason
+                is AttemptEnd.NotRun -> last.reason
+                is AttemptEnd.Broke -> last.reason
             }
+        call.trace.detail = reason
+        when {
+            last is AttemptEnd.CutOff -> exchange.cut(reason)
+            !mayHaveRun -> exchange.answer(OwnAnswer.NOT_RUN, reason, call.head.id, RETRY_AFTER)
+            call.timeLeft <= Duration.ZERO ->
+                exchange.answer(
+                    OwnAnswer.TOO_LATE,
+                    "no answer came in time",
+                    call.head.id,
+                )
+            else -> exchange.answer(OwnAnswer.BROKEN, reason, call.head.id)
         }
     }
 
     private suspend fun attempt(
+        exchange: CallerExchange,
         call: AcceptedCall,
         upstream: ListedUpstream,
-        left: Duration,
-        limit: Duration,
-    ): Attempt {
+        within: Duration,
+    ): AttemptEnd {
         loads.begin(upstream)
         var isSound = false
         try {
-            val result =
-                withTimeoutOrNull(limit) { send(call, upstream, left) } ?: Attempt.Broke("no answer within $limit")
-            isSound = result is Attempt.Answered
-            if (result is Attempt.NotRun) loads.full(upstream)
-            return result
+            val end = UpstreamAttempt(exchange, call, upstream, callUpstream).run(within)
+            isSound = end is AttemptEnd.Answered
+            if (end is AttemptEnd.NotRun) loads.full(upstream)
+            return end
         } finally {
             loads.end(upstream, isSound)
         }
     }
 
-    private suspend fun send(
-        call: AcceptedCall,
-        upstream: ListedUpstream,
-        left: Duration,
-    ): Attempt {
-        val headers = call.forwarded + CallHeaders.towards(upstream.id, left)
-        val request = UpstreamRequest(upstream.address, call.method, call.target, headers, call.body)
-        var head: AnswerEvent.Head? = null
-        val body = ByteArrayOutputStream()
-        try {
-            callUpstream(request).collect { event ->
-                when (event) {
-                    is AnswerEvent.Head -> head = event
-                    is AnswerEvent.Bytes -> body.write(event.bytes)
-                    is AnswerEvent.End -> Unit
-                }
-            }
-        } catch (e: UpstreamException) {
-            val reason = "${upstream.id} at ${upstream.address} broke off: ${e.message}"
-            return if (e.sent) Attempt.Broke(reason) else Attempt.NotRun(reason)
-        }
-        return judge(call, upstream, head, body.toByteArray())
-    }
-
-    private fun judge(
-        call: AcceptedCall,
-        upstream: ListedUpstream,
-        event: AnswerEvent.Head?,
-        body: ByteArray,
-    ): Attempt {
-        if (event == null) return Attempt.Broke("${upstream.id} gave no answer")
-        val answer: AnswerHead = CallHeaders.answer(event.status, event.headers)
-        return when {
-            answer.isNotRun -> Attempt.NotRun("${upstream.id} answered ${answer.status} and did not run it")
-            answer.id != call.head.id -> Attempt.Broke("${upstream.id} answered call ${answer.id}")
-            answer.isEncoded -> Attempt.Broke("${upstream.id} encoded its answer")
-            answer.isSuccess && !answer.isStamped -> Attempt.Broke("${upstream.id} did not sign its answer")
-            else -> Attempt.Answered(event.status, CallHeaders.returned(event.headers), body)
-        }
-    }
-
     private companion object {
         /** Upstreams that one call is offered to; those that are full say so at once. */
         const val MAX_TRIED = 5
--- /dev/null
+++ b/gateway/src/main/kotlin/sycamore/gateway/UpstreamAttempt.kt
@@ -0,0 +1,160 @@
+package sycamore.gateway
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import sycamore.forwarding.AnswerEvent
+import sycamore.forwarding.CallUpstream
+import sycamore.forwarding.CallerExchange
+import sycamore.forwarding.UpstreamException
+import sycamore.forwarding.UpstreamRequest
+import sycamore.platform.CallHeaders
+import sycamore.routing.ListedUpstream
+import sycamore.routing.Repeat
+import java.io.ByteArrayOutputStream
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** How sending a plain call to one upstream ended. */
+internal sealed interface AttemptEnd {
+    /** The caller has the whole answer. */
+    data object Answered : AttemptEnd
+
+    /** The upstream did not run the call. */
+    data class NotRun(
+        val reason: String,
+    ) : AttemptEnd
+
+    /** The upstream may have run the call, and the caller has nothing of its answer. */
+    data class Broke(
+        val reason: String,
+    ) : AttemptEnd
+
+    /** The caller has a part of the answer, and there is no more of it. */
+    data class CutOff(
+        val reason: String,
+    ) : AttemptEnd
+}
+
+/**
+ * Sends one plain call to one upstream and passes the answer on.
+ *
+ * An answer is held until it is whole, so that the call can still go to another upstream when it breaks off. One that is longer
+ * than [HELD_BYTES] is passed on as fast as the caller takes it, and so is a stream from its head on. No more of it than that
+ * is in memory, however long it is.
+ */
+internal class UpstreamAttempt(
+    private val caller: CallerExchange,
+    private val call: AcceptedCall,
+    private val upstream: ListedUpstream,
+    private val callUpstream: CallUpstream,
+) {
+    private val decided = CompletableDeferred<AttemptEnd>()
+    private val held = ByteArrayOutputStream()
+    private var head: AnswerEvent.Head? = null
+
+    /** Sends the call, and gives it up when nothing could be passed on [within] that time. */
+    suspend fun run(within: Duration): AttemptEnd =
+        coroutineScope {
+            val work = launch { decided.complete(exchange()) }
+            val early = withTimeoutOrNull(within) { decided.await() }
+            if (early is AttemptEnd.Answered || early is AttemptEnd.CutOff) return@coroutineScope early
+            // The rest of an answer that is of no use has mostly come with its head; else its connection is closed.
+            if (early != null) withTimeoutOrNull(REST) { work.join() }
+            val late =
+                if (early == null &&
+                    caller.isBegun
+                ) {
+                    withTimeoutOrNull(call.timeLeft) { decided.await() }
+                } else {
+                    null
+                }
+            work.cancelAndJoin()
+            early ?: late ?: givenUp(within)
+        }
+
+    private fun givenUp(within: Duration): AttemptEnd =
+        if (caller.isBegun) {
+            AttemptEnd.CutOff("${upstream.id} did not answer whole in time")
+        } else {
+            AttemptEnd.Broke("${upstream.id} did not answer within $within")
+        }
+
+    private suspend fun exchange(): AttemptEnd {
+        val headers = call.forwarded + CallHeaders.towards(upstream.id, call.timeLeft)
+        val request = UpstreamRequest(upstream.address, call.method, call.target, headers, call.body)
+        try {
+            callUpstream(request).collect(::take)
+        } catch (e: UpstreamException) {
+            return brokenOff(e)
+        }
+        return when {
+            decided.isCompleted -> decided.await()
+            head == null -> AttemptEnd.Broke("${upstream.id} gave no answer")
+            else -> AttemptEnd.Answered.also { finish() }
+        }
+    }
+
+    private fun brokenOff(failure: UpstreamException): AttemptEnd {
+        val reason = "${upstream.id} at ${upstream.address} broke off: ${failure.message}"
+        return when {
+            caller.isBegun -> AttemptEnd.CutOff(reason)
+            failure.sent -> AttemptEnd.Broke(reason)
+            else -> AttemptEnd.NotRun(reason)
+        }
+    }
+
+    private suspend fun take(event: AnswerEvent) {
+        if (decided.isCompleted) return
+        when (event) {
+            is AnswerEvent.Head -> {
+                head = event
+                fault(event)?.let { decided.complete(it) } ?: if (isStream) passOn() else Unit
+            }
+            is AnswerEvent.Bytes -> {
+                if (caller.isBegun) return caller.write(event.bytes)
+                held.write(event.bytes)
+                if (held.size() > HELD_BYTES) passOn()
+            }
+            is AnswerEvent.End -> Unit
+        }
+    }
+
+    private val isStream: Boolean get() = call.route.repeat == Repeat.ONCE_STREAMED
+
+    /** Why the answer that begins with [event] is not passed on; null if it is. */
+    private fun fault(event: AnswerEvent.Head): AttemptEnd? {
+        val answer = CallHeaders.answer(event.status, event.headers)
+        return when {
+            answer.isNotRun -> AttemptEnd.NotRun("${upstream.id} answered ${answer.status} and did not run it")
+            answer.id != call.head.id -> AttemptEnd.Broke("${upstream.id} answered call ${answer.id}")
+            answer.isEncoded -> AttemptEnd.Broke("${upstream.id} encoded its answer")
+            answer.isSuccess && !answer.isStamped -> AttemptEnd.Broke("${upstream.id} did not sign its answer")
+            else -> null
+        }
+    }
+
+    private suspend fun passOn() {
+        caller.begin(head!!.status, CallHeaders.returned(head!!.headers))
+        if (held.size() > 0) caller.write(held.toByteArray())
+        held.reset()
+    }
+
+    private suspend fun finish() {
+        if (caller.isBegun) {
+            caller.end()
+        } else {
+            caller.answer(head!!.status, CallHeaders.returned(head!!.headers), held.toByteArray())
+        }
+    }
+
+    private companion object {
+        /** Most of an answer that is held. Answers of plain services have a kilobyte or so. */
+        const val HELD_BYTES = 256 * 1024
+
+        /** Closing a connection costs a new one; the rest of a refusal is under way when its head is read. */
+        val REST = 100.milliseconds
+    }
+}
--- a/homes/src/main/kotlin/sycamore/homes/RetainerDirectory.kt
+++ b/homes/src/main/kotlin/sycamore/homes/RetainerDirectory.kt
@@ -13,6 +13,7 @@
 import sycamore.links.Done
 import sycamore.links.Exchange
 import sycamore.links.LinkException
+import sycamore.model.HostName
 import sycamore.model.PlaceName
 import sycamore.services.Backoff
 import sycamore.services.Item
@@ -31,17 +32,26 @@
 
 private val log = KotlinLogging.logger {}
 
-/** The retainers that registered themselves in the key-value service, and whether they answer. */
+/**
+ * The retainers that registered themselves in the key-value service, and whether they answer.
+ *
+ * Only those that are named, and a few that would be named next, are asked whether they serve.
+ *
+ * @param named the retainers that the home names now.
+ */
 internal class RetainerDirectory(
     private val keys: KeyValue,
+    private val host: HostName,
     private val place: PlaceName,
     private val exchange: Exchange,
     private val time: TimeSource.WithComparableMarks,
+    private val named: () -> List<Retainer>,
     private val changed: () -> Unit,
 ) {
     private val registered = ConcurrentHashMap<String, Retainer>()
     private val gone = ConcurrentHashMap.newKeySet<RetainerId>()
     private val answered = ConcurrentHashMap<RetainerId, ComparableTimeMark>()
+    private val asked = ConcurrentHashMap<RetainerId, ComparableTimeMark>()
 
     /** Completes once the registrations have been read and those registered were asked. */
     val isRead = CompletableDeferred<Unit>()
@@ -51,26 +61,46 @@
      * the nearest first and each in a place of its own if there are enough.
      */
     fun choose(named: List<Retainer>): List<Retainer> {
-        val usable = registered.values.filter { !it.isLeaving && it.id !in gone }
+        val usable = usable()
         val serving = usable.filter { isServing(it.id) }
         val kept = named.filter { old -> serving.any { it.id == old.id } }
-        val others =
-            (serving - kept.toSet()).sortedWith(
+        val chosen = (kept + ranked(serving - kept.toSet(), kept)).take(RecordRetention.NAMED)
+        // One that does not answer stays named while there is no other: it may come back with what it keeps.
+        val silent = named.filter { old -> usable.any { it.id == old.id } && old !in chosen }
+        return order(chosen + silent.take(RecordRetention.NAMED - chosen.size))
+    }
+
+    private fun usable(): List<Retainer> = registered.values.filter { !it.isLeaving && it.id !in gone }
+
+    /** [retainers] in the order in which they would be named beside [kept]; hosts of one place begin with different ones. */
+    private fun ranked(
+        retainers: List<Retainer>,
+        kept: List<Retainer>,
+    ): List<Retainer> {
+        val sorted =
+            retainers.sortedWith(
                 compareBy(
                     { other -> kept.any { it.place == other.place } },
                     { it.place != place },
-                    { it.host.value },
+                    { (host.value + it.host.value).hashCode() },
                 ),
             )
-        val chosen = (kept + spread(others)).take(RecordRetention.NAMED)
-        // One that does not answer stays named while there is no other: it may come back with what it keeps.
-        val silent = named.filter { old -> usable.any { it.id == old.id } && old !in chosen }
-        return order(chosen + silent.take(RecordRetention.NAMED - chosen.size))
+        val first = sorted.distinctBy { it.place }
+        return first + (sorted - first.toSet())
     }
 
-    private fun spread(retainers: List<Retainer>): List<Retainer> {
-        val first = retainers.distinctBy { it.place }
-        return first + (retainers - first.toSet())
+    /** Retainers whose answers matter now: those named, and the next ones that are not known to be silent. */
+    private fun watched(): List<Retainer> {
+        val usable = usable()
+        val kept = usable.filter { retainer -> named().any { it.id == retainer.id } }
+        val next = ranked(usable - kept.toSet(), kept).filterNot { isSilent(it.id) }
+        return kept + next.take(RecordRetention.NAMED + SPARE - kept.size)
+    }
+
+    /** Whether [id] was asked and did not answer; it is asked once more after a while. */
+    private fun isSilent(id: RetainerId): Boolean {
+        val last = asked[id] ?: return false
+        return !isServing(id) && last.elapsedNow() in ASK_LIMIT..FORGIVEN
     }
 
     private fun order(retainers: List<Retainer>): List<Retainer> =
@@ -97,12 +127,12 @@
                     is Watched.Snapshot -> {
                         registered.keys.retainAll(watched.items.map { it.key }.toSet())
                         watched.items.forEach(::learn)
-                        askAll()
+                        askWatched()
                         isRead.complete(Unit)
                     }
                     is Watched.Changes -> {
                         watched.items.forEach(::learn)
-                        askAll()
+                        askWatched()
                     }
                     is Watched.Unreachable -> Unit
                 }
@@ -113,18 +143,22 @@
     private suspend fun probe() {
         while (true) {
             delay(PROBE_PERIOD)
-            askAll()
+            askWatched()
         }
     }
 
-    private suspend fun askAll() {
-        coroutineScope {
-            registered.values.filter { it.id !in gone }.forEach { retainer -> launch { ask(retainer) } }
-        }
+    private suspend fun askWatched() {
+        coroutineScope { watched().filter(::isDue).forEach { retainer -> launch { ask(retainer) } } }
         changed()
     }
 
+    private fun isDue(retainer: Retainer): Boolean {
+        val last = listOfNotNull(asked[retainer.id], answered[retainer.id]).maxOrNull() ?: return true
+        return last.elapsedNow() >= PROBE_PERIOD * LEAST_SHARE
+    }
+
     private suspend fun ask(retainer: Retainer) {
+        asked[retainer.id] = time.markNow()
         val reply =
             try {
                 withTimeoutOrNull(ASK_LIMIT) { exchange(retainer.address, AskRetainer(retainer.id)).firstOrNull() }
@@ -153,6 +187,15 @@
         /** Far above the time of an answer; a retainer that is silent for longer is replaced if there is another. */
         val SILENCE: Duration = 2500.milliseconds
         val PROBE_PERIOD: Duration = 1.seconds
+
+        /** Of [PROBE_PERIOD]: one that answered lately, to a probe or to records, is not asked again. */
+        const val LEAST_SHARE = 0.5
+
+        /** Retainers that are asked beside those named, so that one is known to serve when it is needed. */
+        const val SPARE = 2
+
+        /** A host is back from a restart, or replaced, within about this time. */
+        val FORGIVEN: Duration = 5.seconds
         val ASK_LIMIT: Duration = 500.milliseconds
     }
 }
--- a/links/src/main/kotlin/sycamore/links/AnsweringLink.kt
+++ b/links/src/main/kotlin/sycamore/links/AnsweringLink.kt
@@ -62,6 +62,9 @@
     /** Closes the link. */
     fun close(reason: String) = connection.close(reason)
 
+    /** See [Connection.check]. */
+    fun check(wasPaused: Boolean) = connection.check(wasPaused)
+
     private suspend fun handle(
         frame: Frame,
         answers: CoroutineScope,
--- a/links/src/main/kotlin/sycamore/links/AskingLink.kt
+++ b/links/src/main/kotlin/sycamore/links/AskingLink.kt
@@ -48,6 +48,9 @@
     /** Closes the link. */
     fun close(reason: String) = connection.close(reason)
 
+    /** See [Connection.check]. */
+    fun check(wasPaused: Boolean) = connection.check(wasPaused)
+
     /** Sends [message] and yields the replies. */
     fun exchange(message: Message): Flow<Message> =
         flow {
--- a/links/src/main/kotlin/sycamore/links/Connection.kt
+++ b/links/src/main/kotlin/sycamore/links/Connection.kt
@@ -3,12 +3,10 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.currentCoroutineContext
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import java.io.IOException
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeMark
 import kotlin.time.TimeSource
 
@@ -27,9 +25,6 @@
 ) {
     private val writer = FrameWriter(pipe, time)
 
-    /** A watchdog that comes later than twice this was paused itself, and blames no peer. */
-    private val tick = minOf(TICK, bounds.activePing / 2)
-
     @Volatile
     private var lastReceived: TimeMark = time.markNow()
 
@@ -57,7 +52,6 @@
     /** Reads frames into [handle] until the connection is closed, then returns the reason. */
     suspend fun run(handle: suspend (Frame) -> Unit): String =
         coroutineScope {
-            val watchdog = launch { watch() }
             val writing = launch { writer.run() }
             try {
                 while (closed == null) receive(handle)
@@ -66,7 +60,6 @@
                 close(if (e is CancellationException) "this end was closed" else e.message ?: "the peer closed it")
                 currentCoroutineContext().ensureActive()
             } finally {
-                watchdog.cancel()
                 writing.cancel()
             }
             closed.orEmpty()
@@ -94,30 +87,22 @@
         pipe.close()
     }
 
-    private suspend fun watch() {
-        while (true) {
-            val before = time.markNow()
-            delay(tick)
-            if (before.elapsedNow() > tick * 2) lastReceived = time.markNow()
-            checkPeer()
-            val pause = if (isActive()) bounds.activePing else bounds.idlePing
-            if (pings && lastPing.elapsedNow() >= pause) ping()
-        }
-    }
-
-    private fun checkPeer() {
+    /**
+     * Drops a peer that is silent or does not read, and sends a heartbeat if one is due. Has to be called again and again.
+     *
+     * @param wasPaused whether this process itself did not run for a while; then no peer is blamed.
+     */
+    fun check(wasPaused: Boolean) {
+        if (wasPaused) lastReceived = time.markNow()
         val limit: Duration = if (isActive()) bounds.activeSilence else bounds.idleSilence
         if (lastReceived.elapsedNow() > limit) close("the peer was silent for $limit")
         if (writer.stuckFor > bounds.write) close("the peer took no byte for ${bounds.write}")
+        val pause = if (isActive()) bounds.activePing else bounds.idlePing
+        if (pings && lastPing.elapsedNow() >= pause) ping()
     }
 
     private fun ping() {
         lastPing = time.markNow()
         writer.tryWrite(Frame.Ping)
     }
-
-    private companion object {
-        /** Longest pause of the watchdog. */
-        val TICK = 1.seconds
-    }
 }
--- a/links/src/main/kotlin/sycamore/links/LinkClient.kt
+++ b/links/src/main/kotlin/sycamore/links/LinkClient.kt
@@ -8,7 +8,6 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.flow
 import kotlinx.coroutines.launch
@@ -20,7 +19,6 @@
 import java.net.ConnectException
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.coroutines.CoroutineContext
-import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
 private val log = KotlinLogging.logger {}
@@ -50,7 +48,7 @@
     private val dialling = ConcurrentHashMap<Address, Mutex>()
 
     init {
-        scope.launch { closeUnused() }
+        scope.launch { LinkWatch(bounds, time).run(::check) }
     }
 
     /** How many links are open. */
@@ -113,20 +111,12 @@
     private fun isRefusal(failure: Exception): Boolean =
         failure is ConnectException && failure.message?.contains("refused", ignoreCase = true) == true
 
-    private suspend fun closeUnused() {
-        while (true) {
-            delay(SWEEP)
-            links.values.filter { it.isUnused }.forEach { it.close("unused") }
-        }
-    }
+    private fun check(wasPaused: Boolean) =
+        links.values.forEach { link -> if (link.isUnused) link.close("unused") else link.check(wasPaused) }
 
     override fun close() {
         links.values.forEach { it.close("this end was closed") }
         scope.cancel()
         selector?.close()
     }
-
-    private companion object {
-        val SWEEP = 5.seconds
-    }
 }
--- a/links/src/main/kotlin/sycamore/links/LinkServer.kt
+++ b/links/src/main/kotlin/sycamore/links/LinkServer.kt
@@ -44,6 +44,7 @@
     val port: Int = socket.port
 
     private fun start() {
+        scope.launch { acceptor.watch() }
         scope.launch {
             while (true) {
                 val accepted = socket.accept()
@@ -124,6 +125,9 @@
     /** Connections that are open, those without a finished handshake too. */
     val connections: Int get() = pipes.size
 
+    /** Checks the links until cancelled. */
+    suspend fun watch() = LinkWatch(bounds, time).run { wasPaused -> links.forEach { it.check(wasPaused) } }
+
     /** Runs the link over [pipe] until it is lost. */
     suspend fun run(pipe: Pipe) {
         pipes += pipe
--- a/links/src/test/kotlin/sycamore/links/TestNet.kt
+++ b/links/src/test/kotlin/sycamore/links/TestNet.kt
@@ -1,6 +1,7 @@
 package sycamore.links
 
 import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.testTimeSource
 import sycamore.model.Address
@@ -29,6 +30,10 @@
             dial,
         )
 
+    init {
+        scope.backgroundScope.launch { acceptor.watch() }
+    }
+
     fun ask(message: Message = Done): Flow<Message> = client.exchange(address, message)
 
     fun close() = client.close()
