--- a/forwarding/src/main/kotlin/sycamore/forwarding/ProbingConnector.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/ProbingConnector.kt
@@ -2,12 +2,22 @@
 
 import jdk.net.ExtendedSocketOptions
 import org.eclipse.jetty.io.ClientConnector
+import org.eclipse.jetty.util.ssl.SslContextFactory
 import java.net.StandardSocketOptions
 import java.nio.channels.NetworkChannel
 import java.nio.channels.SelectableChannel
 
 /** Has the system probe connections, since those that went silent give no other sign. */
 internal class ProbingConnector : ClientConnector() {
+    override fun newSslContextFactory(): SslContextFactory.Client = UnusedTls()
+
+    /** All connections are plain; to read the certificates of the JVM would take a tenth of a daemon's start. */
+    private class UnusedTls : SslContextFactory.Client() {
+        override fun doStart() = Unit
+
+        override fun doStop() = Unit
+    }
+
     override fun configure(channel: SelectableChannel) {
         super.configure(channel)
         val socket = channel as? NetworkChannel ?: return
