Give up streams, events and refusals without end; free the engine's slot with the head of a refusal

A turn's answer is bounded at 2 MiB, and an answer of no use is collected no further than its head. The rest of a short one is read by the client itself for up to 0.1 s, so that its connection is kept. Tests: a stream and an event without end, a refusal whose body has no end (failed before: the slot was held until the caller gave up).

--- a/forwarding/src/main/kotlin/sycamore/forwarding/UpstreamClient.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/UpstreamClient.kt
@@ -1,10 +1,19 @@
 package sycamore.forwarding
 
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.collect
 import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.flow.transformWhile
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import org.eclipse.jetty.client.BytesRequestContent
 import org.eclipse.jetty.client.HttpClient
+import org.eclipse.jetty.client.Request
 import org.eclipse.jetty.client.Response
 import org.eclipse.jetty.client.Result
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP
@@ -66,11 +75,21 @@
  */
 typealias CallUpstream = (request: UpstreamRequest) -> Flow<AnswerEvent>
 
-/** Sends requests to upstreams over connections that are kept open. */
+/** Collects an answer for as long as [take] says that the rest of it is wanted. */
+suspend fun Flow<AnswerEvent>.collectWhile(take: suspend (AnswerEvent) -> Boolean) =
+    transformWhile<AnswerEvent, Unit> { take(it) }.collect()
+
+/**
+ * Sends requests to upstreams over connections that are kept open.
+ *
+ * Whoever stops collecting gives the request up. The rest of a short answer is still read then, as it has mostly come with its
+ * head, and its connection is kept.
+ */
 class UpstreamClient(
     connectTimeout: Duration = CONNECT_TIMEOUT,
     idleTimeout: Duration = IDLE_TIMEOUT,
 ) : AutoCloseable {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val client =
         HttpClient(HttpClientTransportOverHTTP(ProbingConnector())).apply {
             isFollowRedirects = false
@@ -98,19 +117,40 @@
                     .headers { fields -> request.headers.forEach { (name, value) -> fields.add(name, value) } }
             if (request.body.isNotEmpty()) jetty.body(BytesRequestContent(null as String?, request.body))
             jetty.send(answer)
-            var isWhole = false
+            var last: Step? = null
             try {
                 for (step in answer.steps) {
+                    last = step
                     emit(step.event)
-                    if (step.event is AnswerEvent.End) isWhole = true
                     step.demand?.run()
+                    last = null
                 }
             } finally {
-                if (!isWhole) jetty.abort(CancellationException("the answer is not wanted any more"))
+                if (!answer.isWhole) giveUp(jetty, answer, last)
             }
         }
 
-    override fun close() = client.stop()
+    private fun giveUp(
+        jetty: Request,
+        answer: Answer,
+        last: Step?,
+    ) {
+        val unwanted = CancellationException("the answer is not wanted any more")
+        if (!answer.isShort) {
+            jetty.abort(unwanted)
+            return
+        }
+        scope.launch {
+            last?.demand?.run()
+            withTimeoutOrNull(REST) { for (step in answer.steps) step.demand?.run() }
+            if (!answer.isWhole) jetty.abort(unwanted)
+        }
+    }
+
+    override fun close() {
+        scope.cancel()
+        client.stop()
+    }
 
     private class Step(
         val event: AnswerEvent,
@@ -121,10 +161,21 @@
     private class Answer : Response.Listener {
         val steps = Channel<Step>(Channel.UNLIMITED)
         val sent = AtomicBoolean()
+
+        /** Whether all of it has come. */
+        @Volatile
+        var isWhole = false
+            private set
+
+        /** Whether its head says that no more than [SHORT_BYTES] follow. */
+        @Volatile
+        var isShort = false
+            private set
         private var isFramed = true
 
         override fun onHeaders(response: Response) {
             isFramed = response.headers.contains("Content-Length") || response.headers.contains("Transfer-Encoding")
+            isShort = response.headers.getLongField("Content-Length") in 0..SHORT_BYTES
             val headers = response.headers.map { it.name to it.value.orEmpty() }
             steps.trySend(Step(AnswerEvent.Head(response.status, headers)))
         }
@@ -142,6 +193,7 @@
 
         override fun onComplete(result: Result) {
             if (result.isSucceeded) {
+                isWhole = true
                 steps.trySend(Step(AnswerEvent.End(isFramed)))
                 steps.close()
             } else {
@@ -168,6 +220,12 @@
         /** Several times what an upstream sends; a head that is longer may have no end. */
         const val MAX_HEAD_BYTES = 64 * 1024
 
+        /** Answers of plain services have a kilobyte or so, and refusals less. */
+        private const val SHORT_BYTES = 16L * 1024
+
+        /** The rest of a short answer is under way when its head is read. */
+        private val REST = 100.milliseconds
+
         /** Below what an upstream accepts from all callers together. */
         private const val MAX_CONNECTIONS = 64
 
--- a/gateway/src/main/kotlin/sycamore/gateway/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/UpstreamAttempt.kt
@@ -1,21 +1,20 @@
 package sycamore.gateway
 
-import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.async
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.forwarding.AnswerEvent
 import sycamore.forwarding.CallUpstream
 import sycamore.forwarding.CallerExchange
 import sycamore.forwarding.UpstreamException
 import sycamore.forwarding.UpstreamRequest
+import sycamore.forwarding.collectWhile
 import sycamore.platform.CallHeaders
 import sycamore.routing.ListedUpstream
 import sycamore.routing.Repeat
 import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 
 /** How sending a plain call to one upstream ended. */
 internal sealed interface AttemptEnd {
@@ -51,28 +50,18 @@
     private val upstream: ListedUpstream,
     private val callUpstream: CallUpstream,
 ) {
-    private val decided = CompletableDeferred<AttemptEnd>()
     private val held = ByteArrayOutputStream()
     private var head: AnswerEvent.Head? = null
+    private var fault: AttemptEnd? = null
 
     /** Sends the call, and gives it up when nothing could be passed on [within] that time. */
     suspend fun run(within: Duration): AttemptEnd =
         coroutineScope {
-            val work = launch { decided.complete(exchange()) }
-            val early = withTimeoutOrNull(within) { decided.await() }
-            if (early is AttemptEnd.Answered || early is AttemptEnd.CutOff) return@coroutineScope early
-            // The rest of an answer that is of no use has mostly come with its head; else its connection is closed.
-            if (early != null) withTimeoutOrNull(REST) { work.join() }
-            val late =
-                if (early == null &&
-                    caller.isBegun
-                ) {
-                    withTimeoutOrNull(call.timeLeft) { decided.await() }
-                } else {
-                    null
-                }
+            val work = async { exchange() }
+            val early = withTimeoutOrNull(within) { work.await() }
+            val late = if (early == null && caller.isBegun) withTimeoutOrNull(call.timeLeft) { work.await() } else null
             work.cancelAndJoin()
-            early ?: late ?: givenUp(within)
+            early ?: late ?: fault ?: givenUp(within)
         }
 
     private fun givenUp(within: Duration): AttemptEnd =
@@ -86,46 +75,52 @@
         val headers = call.forwarded + CallHeaders.towards(upstream.id, call.timeLeft)
         val request = UpstreamRequest(upstream.address, call.method, call.target, headers, call.body)
         try {
-            callUpstream(request).collect(::take)
+            callUpstream(request).collectWhile(::take)
         } catch (e: UpstreamException) {
             return brokenOff(e)
         }
-        return when {
-            decided.isCompleted -> decided.await()
-            head == null -> AttemptEnd.Broke("${upstream.id} gave no answer")
-            else -> AttemptEnd.Answered.also { finish() }
-        }
+        fault?.let { return it }
+        if (head == null) return AttemptEnd.Broke("${upstream.id} gave no answer")
+        finish()
+        return AttemptEnd.Answered
     }
 
     private fun brokenOff(failure: UpstreamException): AttemptEnd {
         val reason = "${upstream.id} at ${upstream.address} broke off: ${failure.message}"
         return when {
+            fault != null -> fault!!
             caller.isBegun -> AttemptEnd.CutOff(reason)
             failure.sent -> AttemptEnd.Broke(reason)
             else -> AttemptEnd.NotRun(reason)
         }
     }
 
-    private suspend fun take(event: AnswerEvent) {
-        if (decided.isCompleted) return
+    /** Takes [event]; false if the rest of the answer is of no use. */
+    private suspend fun take(event: AnswerEvent): Boolean {
         when (event) {
-            is AnswerEvent.Head -> {
-                head = event
-                fault(event)?.let { decided.complete(it) } ?: if (isStream) passOn() else Unit
-            }
-            is AnswerEvent.Bytes -> {
-                if (caller.isBegun) return caller.write(event.bytes)
-                held.write(event.bytes)
-                if (held.size() > HELD_BYTES) passOn()
-            }
+            is AnswerEvent.Head -> begin(event)
+            is AnswerEvent.Bytes -> pass(event.bytes)
             is AnswerEvent.End -> Unit
         }
+        return fault == null
+    }
+
+    private suspend fun begin(event: AnswerEvent.Head) {
+        head = event
+        fault = faultOf(event)
+        if (fault == null && isStream) passOn()
+    }
+
+    private suspend fun pass(bytes: ByteArray) {
+        if (caller.isBegun) return caller.write(bytes)
+        held.write(bytes)
+        if (held.size() > HELD_BYTES) passOn()
     }
 
     private val isStream: Boolean get() = call.route.repeat == Repeat.ONCE_STREAMED
 
     /** Why the answer that begins with [event] is not passed on; null if it is. */
-    private fun fault(event: AnswerEvent.Head): AttemptEnd? {
+    private fun faultOf(event: AnswerEvent.Head): AttemptEnd? {
         val answer = CallHeaders.answer(event.status, event.headers)
         return when {
             answer.isNotRun -> AttemptEnd.NotRun("${upstream.id} answered ${answer.status} and did not run it")
@@ -153,8 +148,5 @@
     private companion object {
         /** Most of an answer that is held. Answers of plain services have a kilobyte or so. */
         const val HELD_BYTES = 256 * 1024
-
-        /** Closing a connection costs a new one; the rest of a refusal is under way when its head is read. */
-        val REST = 100.milliseconds
     }
 }
--- a/homes/src/main/kotlin/sycamore/homes/EngineCall.kt
+++ b/homes/src/main/kotlin/sycamore/homes/EngineCall.kt
@@ -5,6 +5,7 @@
 import sycamore.forwarding.CallUpstream
 import sycamore.forwarding.UpstreamException
 import sycamore.forwarding.UpstreamRequest
+import sycamore.forwarding.collectWhile
 import sycamore.links.HeaderField
 import sycamore.links.Message
 import sycamore.links.RunTurn
@@ -36,13 +37,15 @@
         val request = UpstreamRequest(call.target.address, call.method, call.path, headers, prompt)
         var end: Message = TurnBroke("the engine's answer has no end")
         try {
-            callUpstream(request).collect { event ->
+            callUpstream(request).collectWhile { event ->
                 when (event) {
                     is AnswerEvent.Head -> begin(event, replies)
-                    is AnswerEvent.Bytes -> if (head?.isNotRun == false) replies.emit(TurnBytes(event.bytes))
-                    is AnswerEvent.End -> end = finish()
+                    is AnswerEvent.Bytes -> replies.emit(TurnBytes(event.bytes))
+                    is AnswerEvent.End -> end = TurnWhole()
                 }
+                head?.isNotRun != true
             }
+            head?.takeIf { it.isNotRun }?.let { end = refusal(it) }
         } catch (e: UpstreamException) {
             end = if (e.sent) TurnBroke("the engine broke off: ${e.message}") else notReached(e)
         } catch (e: UnusableAnswerException) {
@@ -66,11 +69,6 @@
         )
     }
 
-    private fun finish(): Message {
-        val answer = head ?: return TurnBroke("the engine's answer has no head")
-        return if (answer.isNotRun) refusal(answer) else TurnWhole()
-    }
-
     private fun refusal(answer: AnswerHead): TurnRefused =
         if (answer.status == MISDIRECTED) {
             TurnRefused(TurnRefusal.TARGET_GONE, "another upstream answers at ${call.target.address}")
--- a/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
@@ -168,8 +168,8 @@
                 last = if (start == null) TurnRefused(TurnRefusal.NOT_HERE, e.message!!) else TurnBroke(e.message!!)
             } catch (_: NotKeptException) {
                 last = TurnBroke("the turn's start could not be kept within $SAFE_LIMIT")
-            } catch (_: CutOffException) {
-                last = TurnBroke("the engine's answer ends within an event")
+            } catch (e: CutOffException) {
+                last = TurnBroke(e.message!!)
             } catch (e: CancellationException) {
                 last = TurnBroke("the caller left")
                 throw e
@@ -217,6 +217,7 @@
                 }
                 is TurnBytes -> {
                     if (isSuccess) events.read(message.bytes)
+                    if (events.size > MAX_ANSWER_BYTES) throw CutOffException("the engine's answer has no end")
                     pass(message)
                 }
                 is TurnWhole -> if (isSuccess) finish()
@@ -236,7 +237,8 @@
 
         /** A turn counts from the end of its answer on, so that has to outlive this process first. */
         private suspend fun finish() {
-            if (!events.isBetweenEvents || events.events == 0) throw CutOffException()
+            if (!events.isBetweenEvents) throw CutOffException("the engine's answer ends within an event")
+            if (call.keepsHistory && events.events == 0) throw CutOffException("the engine's answer has no event")
             isEnded = true
             if (record == null) return
             val end = TurnFinished(call.program, call.turn, if (call.keepsHistory) events.output else NOTHING, tokens())
@@ -267,13 +269,18 @@
     /** What has to be kept before an answer goes on was not kept in time. */
     private class NotKeptException : Exception()
 
-    /** An answer that ends as if it was whole ends within an event. */
-    private class CutOffException : Exception()
+    /** An answer is not whole, though its connection is sound. */
+    private class CutOffException(
+        message: String,
+    ) : Exception(message)
 
     private companion object {
         val SUCCESSES = 200..299
         val NOTHING = ByteArray(0)
 
+        /** Several times the longest turn; an answer that is longer may have no end. */
+        const val MAX_ANSWER_BYTES = 2 * 1024 * 1024
+
         /** A first refusal waits for the store for this long: a program whose end is not known could begin anew. */
         val MARK_LIMIT = 300.milliseconds
         val ASK_LIMIT = 500.milliseconds
--- a/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
@@ -503,6 +503,36 @@
             assertEquals("in-a;one\ntwo\nin-b;", fixture.prompts["b"])
         }
 
+    @Test
+    fun `a stream without end is given up`() =
+        home { fixture ->
+            fixture.start(1)
+            fixture.endless = "data: more\n\n".repeat(100).encodeToByteArray()
+            assertEquals("broke", fixture.turn(1, "a").outcome())
+            fixture.endless = null
+            assertEquals("whole", fixture.turn(1, "b").outcome())
+        }
+
+    @Test
+    fun `an event without end is given up`() =
+        home { fixture ->
+            fixture.start(1)
+            fixture.endless = "data: more".repeat(100).encodeToByteArray()
+            assertEquals("broke", fixture.turn(1, "a").outcome())
+        }
+
+    /** Its slot was held until the caller gave up. */
+    @Test
+    fun `a refusal of an engine whose body has no end frees its slot at once`() =
+        home { fixture ->
+            fixture.start(1)
+            fixture.isFull = true
+            fixture.endless = ByteArray(100)
+            val began = currentTime
+            assertEquals("NOT_NOW", fixture.turn(1, "a").outcome())
+            assertTrue(currentTime - began < 500, "found ${currentTime - began} ms")
+        }
+
     @Test
     fun `a turn that does not exist is refused`() =
         home { fixture ->
--- a/homes/src/test/kotlin/sycamore/homes/HomeFixture.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeFixture.kt
@@ -87,6 +87,12 @@
     /** What an engine answers to a turn. */
     var events: List<String> = listOf("one", "two")
 
+    /** What an engine sends without end, instead of the end of its answer; null if it sends the end. */
+    var endless: ByteArray? = null
+
+    /** Whether an engine says that it has not run a turn. */
+    var isFull = false
+
     val exchange: Exchange = { to, message -> flow { emitAll(deliver(to, message)) } }
 
     private suspend fun deliver(
@@ -197,17 +203,28 @@
             val prompt = request.body.decodeToString()
             val turn = prompt.substringAfterLast("in-").removeSuffix(";")
             prompts[turn] = prompt
-            emit(AnswerEvent.Head(OK, listOf("X-Request-Id" to turn, "X-Server-Stamp" to "s")))
+            val full = if (isFull) listOf("X-Not-Run" to "1") else emptyList()
+            emit(
+                AnswerEvent.Head(
+                    if (isFull) FULL else OK,
+                    listOf("X-Request-Id" to turn, "X-Server-Stamp" to "s") + full,
+                ),
+            )
             for ((id, data) in events.withIndex()) {
                 delay(work / events.size)
                 emit(AnswerEvent.Bytes("id: $id\ndata: $data\n\n".encodeToByteArray()))
             }
+            while (true) {
+                emit(AnswerEvent.Bytes(endless ?: break))
+                delay(1.milliseconds)
+            }
             emit(AnswerEvent.End(isFramed = true))
         }
 
     companion object {
         private const val PORT = 7000
         private const val OK = 200
+        private const val FULL = 503
 
         fun address(number: Int) = Address("10.0.0.$number", PORT)
 
--- a/turns/src/main/kotlin/sycamore/turns/EventReader.kt
+++ b/turns/src/main/kotlin/sycamore/turns/EventReader.kt
@@ -17,6 +17,9 @@
     var events = 0
         private set
 
+    /** Bytes that are held: data of the whole events, and what came of the next one. */
+    val size: Int get() = kept.size() + data.size() + line.size()
+
     /** Whether the last byte ended an event. */
     val isBetweenEvents: Boolean get() = !isEventOpen && line.size() == 0
 
