Let eight homes at most keep the directory of programs

One cause of several: each home kept some of 256 partitions, so at a start each of 24 homes dialled and asked the 23 others, in code that runs for the first time, and each change of the list ranked all homes 256 times in every daemon.

Change: eight partitions, so at most eight owners ask, and a home that keeps none moves nothing when it is lost. A lost owner concerns an eighth of new programs; these get a tentative place from its deputy at once.

--- a/decisions/src/main/kotlin/sycamore/decisions/programs/ProgramPartitions.kt
+++ b/decisions/src/main/kotlin/sycamore/decisions/programs/ProgramPartitions.kt
@@ -10,8 +10,11 @@
  * A home that joins or leaves moves only the partitions that it owns then or owned before.
  */
 object ProgramPartitions {
-    /** Partitions. A change of members makes new owners ask for at most about this many lists, however many homes there are. */
-    const val COUNT = 256
+    /**
+     * Partitions, which is also the most homes that keep a part of the directory. Each of these asks all homes when it begins, so
+     * messages after a loss of power grow with the homes and not with their square. A lost owner delays one part of new programs.
+     */
+    const val COUNT = 8
 
     /** The partition of the program called [name]. */
     fun of(name: String): Int = Math.floorMod(hash(name), COUNT)
