Read and write links on one loop, and end an exchange with its last reply

A message between two daemons went through four coroutines on two dispatchers at each end: Ktor reads and writes a socket in coroutines of its own on the dispatcher for blocking work. A question with one reply took four frames: the question, the reply, the end, and a cancellation, since the asking side stops at the first reply.

Ruled out: thresholds, inlining limits and the number of workers (all within noise or worse in trials).

Change: one thread of a process waits for all links and reads them; a frame is written by its sender while the socket takes it. A reply whose type ends its exchange carries the end.

--- a/links/src/main/kotlin/sycamore/links/AnsweringLink.kt
+++ b/links/src/main/kotlin/sycamore/links/AnsweringLink.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.flowOf
 import kotlinx.coroutines.flow.update
 import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
@@ -104,12 +105,13 @@
     ) {
         try {
             val message = FrameCodec.decodeMessage(ask.message)
-            if (message == null) {
-                reply(ask.stream, Unsupported, credit)
-            } else {
-                serve(peer, message).collect { reply(ask.stream, it, credit) }
+            val replies = if (message == null) flowOf(Unsupported) else serve(peer, message)
+            var hasEnded = false
+            replies.collect { reply ->
+                reply(ask.stream, reply, credit)
+                hasEnded = reply is LastReply
             }
-            end(Frame.End(ask.stream))
+            if (hasEnded) exchanges.remove(ask.stream) else end(Frame.End(ask.stream))
         } catch (e: CancellationException) {
             exchanges.remove(ask.stream)
             throw e
@@ -128,7 +130,7 @@
     ) {
         credit.first { it > 0 }
         credit.update { it - 1 }
-        connection.send(Frame.Reply(stream, FrameCodec.encodeMessage(message)))
+        connection.send(Frame.Reply(stream, FrameCodec.encodeMessage(message), isLast = message is LastReply))
     }
 
     private suspend fun end(frame: Frame) {
--- a/links/src/main/kotlin/sycamore/links/AskingLink.kt
+++ b/links/src/main/kotlin/sycamore/links/AskingLink.kt
@@ -129,9 +129,10 @@
     }
 
     private fun reply(frame: Frame.Reply) {
-        val replies = exchanges[frame.stream] ?: return
+        val replies = (if (frame.isLast) exchanges.remove(frame.stream) else exchanges[frame.stream]) ?: return
         val message = FrameCodec.decodeMessage(frame.message) ?: Unsupported
         if (replies.trySend(message).isFailure) throw ProtocolException("more replies than the window allows")
+        if (frame.isLast) replies.close()
     }
 
     private companion object {
--- a/links/src/main/kotlin/sycamore/links/DirectoryMessage.kt
+++ b/links/src/main/kotlin/sycamore/links/DirectoryMessage.kt
@@ -38,7 +38,7 @@
 data class ProgramAt(
     val home: HomeAt?,
     val isTentative: Boolean = false,
-) : Message
+) : LastReply
 
 /**
  * New owner to home: [owner] keeps the directory of [partitions], as of [revision] of the key-value service.
@@ -78,7 +78,7 @@
     val home: HomeId,
     val programs: List<ListedProgram>,
     val isComplete: Boolean,
-) : Message
+) : LastReply
 
 /** Home to the owner of a directory partition: [programs] of this partition do not live at [home] any more. Answered by [Done]. */
 @Serializable
@@ -120,4 +120,4 @@
     val home: HomeId,
     val hasTurn: Boolean,
     val isComplete: Boolean,
-) : Message
+) : LastReply
--- a/links/src/main/kotlin/sycamore/links/Frame.kt
+++ b/links/src/main/kotlin/sycamore/links/Frame.kt
@@ -23,10 +23,11 @@
         val window: Int,
     ) : Frame
 
-    /** One reply of exchange [stream]. */
+    /** One reply of exchange [stream], and the last one if it [isLast]. */
     class Reply(
         val stream: Long,
         val message: ByteArray,
+        val isLast: Boolean = false,
     ) : Frame
 
     /** There are no more replies to exchange [stream]. */
@@ -136,7 +137,7 @@
     private fun envelope(frame: Frame): Envelope =
         when (frame) {
             is Frame.Ask -> Envelope(ASK, frame.stream, frame.message, frame.window)
-            is Frame.Reply -> Envelope(REPLY, frame.stream, frame.message)
+            is Frame.Reply -> Envelope(REPLY, frame.stream, frame.message, count = if (frame.isLast) 1 else 0)
             is Frame.End -> Envelope(END, frame.stream)
             is Frame.Fail -> Envelope(FAIL, frame.stream, count = if (frame.ran) 1 else 0, text = frame.reason)
             is Frame.Cancel -> Envelope(CANCEL, frame.stream)
@@ -150,7 +151,7 @@
     private fun frame(envelope: Envelope): Frame =
         when (envelope.kind) {
             ASK -> Frame.Ask(envelope.stream, envelope.body, envelope.count)
-            REPLY -> Frame.Reply(envelope.stream, envelope.body)
+            REPLY -> Frame.Reply(envelope.stream, envelope.body, isLast = envelope.count != 0)
             END -> Frame.End(envelope.stream)
             FAIL -> Frame.Fail(envelope.stream, envelope.count != 0, envelope.text)
             CANCEL -> Frame.Cancel(envelope.stream)
--- a/links/src/main/kotlin/sycamore/links/LinkClient.kt
+++ b/links/src/main/kotlin/sycamore/links/LinkClient.kt
@@ -1,7 +1,6 @@
 package sycamore.links
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -41,8 +40,7 @@
     /** Bytes of all links. */
     val traffic = LinkTraffic()
 
-    private val selector = if (dial == null) SelectorManager(LinkThreads.selector()) else null
-    private val open: Dial = dial ?: dialTcp(selector!!, traffic)
+    private val open: Dial = dial ?: dialTcp(LinkLoop.shared, traffic)
     private val scope = CoroutineScope(context + SupervisorJob(context[Job]))
     private val links = ConcurrentHashMap<Address, AskingLink>()
     private val dialling = ConcurrentHashMap<Address, Mutex>()
@@ -117,6 +115,5 @@
     override fun close() {
         links.values.forEach { it.close("this end was closed") }
         scope.cancel()
-        selector?.close()
     }
 }
--- a/links/src/main/kotlin/sycamore/links/LinkServer.kt
+++ b/links/src/main/kotlin/sycamore/links/LinkServer.kt
@@ -1,21 +1,13 @@
 package sycamore.links
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.ServerSocket
-import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.aSocket
-import io.ktor.network.sockets.awaitClosed
-import io.ktor.network.sockets.port
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
-import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.model.Address
 import sycamore.model.HostName
@@ -29,81 +21,64 @@
 
 /** Accepts links from other daemons and answers their messages. */
 class LinkServer private constructor(
-    private val socket: ServerSocket,
-    private val selector: SelectorManager,
+    private val address: Address,
     private val acceptor: LinkAcceptor,
     private val maxConnections: Int,
 ) : AutoCloseable {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val sockets = ConcurrentHashMap.newKeySet<Socket>()
 
     /** Bytes of all links. */
     val traffic = LinkTraffic()
 
+    private val socket = LinkLoop.shared.listen(address, BACKLOG, traffic, ::accept)
+
     /** The TCP port that links are accepted on. */
-    val port: Int = socket.port
+    val port: Int = socket.socket().localPort
 
-    private fun start() {
+    init {
         scope.launch { acceptor.watch() }
-        scope.launch {
-            while (true) {
-                val accepted = socket.accept()
-                if (acceptor.connections >= maxConnections) {
-                    log.warn { "connection from ${accepted.remoteAddress} closed, since $maxConnections are open" }
-                    accepted.close()
-                } else {
-                    scope.launch { run(accepted) }
-                }
-            }
-        }
     }
 
-    private suspend fun run(accepted: Socket) {
-        sockets += accepted
-        try {
-            acceptor.run(Pipe.of(accepted, traffic))
-        } finally {
-            withContext(NonCancellable) { withTimeoutOrNull(LAST_BYTES) { accepted.awaitClosed() } }
-            sockets -= accepted
+    private fun accept(pipe: Pipe) {
+        if (acceptor.connections >= maxConnections) {
+            log.warn { "a connection to $address is closed, since $maxConnections are open" }
+            pipe.close()
+        } else {
+            scope.launch { acceptor.run(pipe) }
         }
     }
 
     /** Takes no new exchanges, waits up to [within] for those in progress to end, then closes. */
     suspend fun leave(within: Duration) {
         acceptor.leave(within)
-        withTimeoutOrNull(LAST_BYTES) { while (sockets.isNotEmpty()) delay(CLOSE_CHECK) }
+        withTimeoutOrNull(LAST_LINKS) { while (acceptor.connections > 0) delay(CLOSE_CHECK) }
         close()
     }
 
     override fun close() {
         scope.cancel()
         socket.close()
-        selector.close()
+        // The loop gives a closed socket back to the system when it runs next.
+        LinkLoop.shared.execute { }
     }
 
     companion object {
         /** Listens on [address] as the daemon called [self]. Port 0 takes a free one. */
-        suspend fun listen(
+        fun listen(
             self: HostName,
             address: Address,
             keys: LinkKeys = LinkKeys.NONE,
             bounds: LinkBounds = LinkBounds(),
             serve: Serve,
         ): LinkServer {
-            val selector = SelectorManager(LinkThreads.selector())
-            val socket =
-                aSocket(selector).tcp().bind(address.ip, address.port) {
-                    reuseAddress = true
-                    backlogSize = BACKLOG
-                }
             val acceptor = LinkAcceptor(Handshake(self, keys), bounds, TimeSource.Monotonic, serve)
-            return LinkServer(socket, selector, acceptor, bounds.connections).also { it.start() }
+            return LinkServer(address, acceptor, bounds.connections)
         }
 
         private const val BACKLOG = 1_024
 
-        /** How long what was written last may take to leave before a socket is closed all the same. */
-        private val LAST_BYTES = 2.seconds
+        /** How long links may take to end once they were closed. */
+        private val LAST_LINKS = 2.seconds
 
         private val CLOSE_CHECK = 10.milliseconds
     }
--- a/links/src/main/kotlin/sycamore/links/Message.kt
+++ b/links/src/main/kotlin/sycamore/links/Message.kt
@@ -23,6 +23,9 @@
 @Serializable
 sealed interface Message
 
+/** A reply that ends its exchange. */
+sealed interface LastReply : Message
+
 /**
  * Entry to home: a caller's call.
  *
@@ -166,12 +169,12 @@
 /** The request was carried out. */
 @Serializable
 @SerialName("done")
-data object Done : Message
+data object Done : LastReply
 
 /** The sender does not know this message; its version is older or newer. */
 @Serializable
 @SerialName("unsupported")
-data object Unsupported : Message
+data object Unsupported : LastReply
 
 /** A host tells its peers about itself, and about the upstream beside it if there is one. */
 @Serializable
--- a/links/src/main/kotlin/sycamore/links/RecoveryMessage.kt
+++ b/links/src/main/kotlin/sycamore/links/RecoveryMessage.kt
@@ -127,7 +127,7 @@
 data class Declined(
     val reason: String,
     val retryAfter: Duration? = null,
-) : Message
+) : LastReply
 
 /**
  * To a host: take over the programs of [home], which is lost or leaves.
--- a/links/src/main/kotlin/sycamore/links/TurnMessage.kt
+++ b/links/src/main/kotlin/sycamore/links/TurnMessage.kt
@@ -98,14 +98,14 @@
 @SerialName("turn-whole")
 data class TurnWhole(
     val load: GateStatus? = null,
-) : Message
+) : LastReply
 
 /** Last reply: the answer broke off. The turn may have run. */
 @Serializable
 @SerialName("turn-broke")
 data class TurnBroke(
     val reason: String,
-) : Message
+) : LastReply
 
 /** Why a turn did not run. */
 @Serializable
@@ -139,7 +139,7 @@
     val detail: String,
     val retryAfter: Duration? = null,
     val livesAt: HomeAt? = null,
-) : Message
+) : LastReply
 
 /** Home to home: what is the prompt after [turn]? Answered by [Prompt]. */
 @Serializable
@@ -153,7 +153,7 @@
 @SerialName("prompt-of")
 data class Prompt(
     val bytes: ByteArray?,
-) : Message
+) : LastReply
 
 /** Entry to host: how loaded is its engine? Answered by [GateStatus]. */
 @Serializable
@@ -177,7 +177,7 @@
     val running: Int,
     val waiting: Int,
     val wait: Duration,
-) : Message
+) : LastReply
 
 /** Entry to host: take over the programs of [lost], unless it lives. Answered by [HomeTaken] or [Declined]. */
 @Serializable
@@ -193,7 +193,7 @@
 data class HomeTaken(
     val lost: HomeId,
     val successor: HomeAt,
-) : Message
+) : LastReply
 
 /** Home to retainer: keep [records], and drop those up to [committed]. Answered by [Done] or [Declined]. */
 @Serializable
@@ -226,7 +226,7 @@
 data class RecordsOf(
     val home: HomeId,
     val records: List<LogRecord>,
-) : Message
+) : LastReply
 
 /** Successor to retainer: the records of [home] are committed elsewhere and can be dropped. Answered by [Done]. */
 @Serializable
--- a/links/src/test/kotlin/sycamore/links/FrameWriterTest.kt
+++ b/links/src/test/kotlin/sycamore/links/FrameWriterTest.kt
@@ -11,7 +11,7 @@
 import kotlin.test.assertFailsWith
 
 class FrameWriterTest {
-    private fun pipe() = ByteChannel().let { Pipe(it, it) { } }
+    private fun pipe() = ByteChannel().let { BytePipe(it, it) { } }
 
     @Test
     fun `frames arrive in the order of their writes`() =
--- a/links/src/test/kotlin/sycamore/links/TestWire.kt
+++ b/links/src/test/kotlin/sycamore/links/TestWire.kt
@@ -51,8 +51,8 @@
 ) {
     val up = TestWire()
     val down = TestWire()
-    val dialled = Pipe(down.output, up.input) { close(up, down) }
-    private val accepted = Pipe(up.output, down.input) { close(down, up) }
+    val dialled = BytePipe(down.output, up.input) { close(up, down) }
+    private val accepted = BytePipe(up.output, down.input) { close(down, up) }
 
     init {
         listOf(up, down).forEach { wire ->
