Ask retainers seldom while a home has no records to be kept

An idle home asked five retainers each second: most of the 72 changes of threads a second of an idle home, and of an idle retainer's. It asks every three seconds now; a retainer counts as silent once a question has had no answer for 2.5 s, not once its last answer is that old, and records that are not kept tell of it at once. 'a retainer that is gone for good is replaced by one that answers' holds as before.

--- a/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
@@ -76,9 +76,16 @@
     private val gate = EngineGate(time)
     private val gates = GateRunner(settings.upstream, gate, callUpstream, exchange, time)
     private val retainers =
-        RetainerDirectory(keys, settings.name, settings.place.name, exchange, time, { home.journal.named.value }) {
-            home.journal.check()
-        }
+        RetainerDirectory(
+            keys,
+            settings.name,
+            settings.place.name,
+            exchange,
+            time,
+            named = { home.journal.named.value },
+            isActive = { home.journal.hasUncommitted },
+            changed = { home.journal.check() },
+        )
     private val homes = HomeList(keys)
     private val takeovers = HomeTakeovers(keys, exchange, scope, meters, time) { home }
     private val spent = SpentPrograms(keys, scope)
--- a/homes/src/main/kotlin/sycamore/homes/HomeJournal.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeJournal.kt
@@ -86,6 +86,9 @@
     /** The number up to which all records are committed. */
     val committed: StateFlow<Long> = lastCommitted.asStateFlow()
 
+    /** Whether records wait to be committed. */
+    val hasUncommitted: Boolean get() = last.value > committed.value
+
     /** Completes with the successor when this home was taken over. */
     val ended = CompletableDeferred<HomeId>()
 
--- a/homes/src/main/kotlin/sycamore/homes/RecordRetention.kt
+++ b/homes/src/main/kotlin/sycamore/homes/RecordRetention.kt
@@ -150,6 +150,7 @@
                     delay(RETRY)
                 }
                 else -> {
+                    directory.unanswered(retainer.id)
                     change(retainer.id) { it.copy(isLate = true) }
                     delay(RETRY)
                 }
--- a/homes/src/main/kotlin/sycamore/homes/RetainerDirectory.kt
+++ b/homes/src/main/kotlin/sycamore/homes/RetainerDirectory.kt
@@ -36,9 +36,11 @@
 /**
  * The retainers that registered themselves in the key-value service, and whether they answer.
  *
- * Only those that are named, and a few that would be named next, are asked whether they serve.
+ * Only those that are named, and a few that would be named next, are asked whether they serve, and seldom while the home has no
+ * records to be kept.
  *
  * @param named the retainers that the home names now.
+ * @param isActive whether the home has records that are not committed.
  */
 internal class RetainerDirectory(
     private val keys: KeyValue,
@@ -47,6 +49,7 @@
     private val exchange: Exchange,
     private val time: TimeSource.WithComparableMarks,
     private val named: () -> List<Retainer>,
+    private val isActive: () -> Boolean,
     private val changed: () -> Unit,
 ) {
     private val registered = ConcurrentHashMap<String, Retainer>()
@@ -54,6 +57,9 @@
     private val answered = ConcurrentHashMap<RetainerId, ComparableTimeMark>()
     private val asked = ConcurrentHashMap<RetainerId, ComparableTimeMark>()
 
+    /** Since when questions to a retainer have no answer. */
+    private val unanswered = ConcurrentHashMap<RetainerId, ComparableTimeMark>()
+
     /** Completes once the registrations have been read and those registered were asked. */
     val isRead = CompletableDeferred<Unit>()
 
@@ -107,11 +113,18 @@
     private fun order(retainers: List<Retainer>): List<Retainer> =
         retainers.sortedWith(compareBy({ it.place != place }, { it.host.value }))
 
-    private fun isServing(id: RetainerId): Boolean = answered[id]?.let { it.elapsedNow() < SILENCE } == true
+    private fun isServing(id: RetainerId): Boolean =
+        answered.containsKey(id) && unanswered[id]?.let { it.elapsedNow() >= SILENCE } != true
 
     /** [id] has answered. */
     fun answered(id: RetainerId) {
         answered[id] = time.markNow()
+        unanswered -= id
+    }
+
+    /** [id] has not answered. */
+    fun unanswered(id: RetainerId) {
+        unanswered.putIfAbsent(id, time.markNow())
     }
 
     /** The data folder [id] does not exist any more, or its host leaves. */
@@ -144,7 +157,7 @@
 
     private suspend fun probe() {
         while (true) {
-            delay(PROBE_PERIOD)
+            delay(if (isActive()) PROBE_PERIOD else IDLE_PERIOD)
             askWatched()
         }
     }
@@ -179,8 +192,11 @@
                 log.debug { "retainer ${retainer.host} cannot be asked: ${e.message}" }
                 null
             }
-        if (reply is Done) answered(retainer.id)
-        if (reply is Declined) lost(retainer.id)
+        when (reply) {
+            is Done -> answered(retainer.id)
+            is Declined -> lost(retainer.id)
+            else -> unanswered(retainer.id)
+        }
     }
 
     private fun learn(item: Item) {
@@ -201,6 +217,9 @@
         val SILENCE: Duration = 2500.milliseconds
         val PROBE_PERIOD: Duration = 1.seconds
 
+        /** Retainers that are lost meanwhile are noticed by the first record that they do not keep. */
+        val IDLE_PERIOD: Duration = 3.seconds
+
         /** Several times the way to the farthest region and back. */
         val FIRST_ANSWERS: Duration = 150.milliseconds
         val FIRST_CHECK: Duration = 10.milliseconds
