Send nothing more to an upstream whose answer says that it leaves

The users' new rule: a worker that leaves says 'Server-Leaving: 1' in all its answers, and later than drain_ms after a machine passed such an answer on it gets no request from that machine, whether that is in touch with the store or not. Until now only the list of upstreams told it, which may be late, may not tell it at all, and cannot be followed while the store is away.

Change: each daemon remembers upstreams that said so, by id and start, and chooses them no more from that answer on; refusals count as answers. Gateways learn it from plain answers and from the head of a turn's answer; homes from their engine, for turns of their own and of other homes. A turn that comes all the same is refused as TARGET_LEAVES, and goes to another engine.

--- a/gateway/src/main/kotlin/sycamore/gateway/EngineBoard.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/EngineBoard.kt
@@ -56,7 +56,7 @@
 
     /** The engine beside the daemon at [address]. */
     fun at(address: Address): EngineHost? =
-        upstreams.all.firstOrNull { linksOf(it) == address && isEngine(it) }?.let(::host)
+        upstreams.at(address.ip).firstOrNull { linksOf(it) == address && isEngine(it) }?.let(::host)
 
     private fun isEngine(upstream: ListedUpstream): Boolean =
         routes.table.value
--- a/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
@@ -53,7 +53,7 @@
     private val homes = ProgramHomes(settings.place.name, board, homeList, exchange, background, time)
     private val plain = PlainCalls(upstreams, UpstreamLoads(settings.place.name, time), callUpstream)
     private val choice = EngineChoice(settings.place, settings.places, board)
-    private val turns = TurnCalls(homes, choice, board, ::engine, exchange, meters, time)
+    private val turns = TurnCalls(homes, choice, board, upstreams, ::engine, exchange, meters, time)
 
     /** Whether callers may be sent here. */
     val isReady: Boolean get() = routes.table.value != null && upstreams.isRead
--- a/gateway/src/main/kotlin/sycamore/gateway/PlainCalls.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/PlainCalls.kt
@@ -78,7 +78,7 @@
         loads.begin(upstream)
         var isSound = false
         try {
-            val end = UpstreamAttempt(exchange, call, upstream, callUpstream).run(within)
+            val end = UpstreamAttempt(exchange, call, upstream, callUpstream, upstreams::leaves).run(within)
             isSound = end is AttemptEnd.Answered
             if (end is AttemptEnd.NotRun) loads.full(upstream)
             return end
--- a/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
@@ -17,6 +17,7 @@
 import sycamore.links.TurnRefusal
 import sycamore.links.TurnRefused
 import sycamore.links.TurnWhole
+import sycamore.platform.CallHeaders
 import sycamore.routing.AttemptId
 import sycamore.routing.EngineProfile
 import sycamore.routing.ProgramName
@@ -32,6 +33,7 @@
     private val homes: ProgramHomes,
     private val choice: EngineChoice,
     private val board: EngineBoard,
+    private val upstreams: UpstreamDirectory,
     private val engines: (AcceptedCall) -> EngineProfile?,
     private val exchange: Exchange,
     private val meters: CallMeters,
@@ -171,7 +173,7 @@
                                     sent = refused(reply, home, target)
                                     isAnswered = true
                                 }
-                                else -> isAnswered = pass(reply, home) || isAnswered
+                                else -> isAnswered = pass(reply, home, target) || isAnswered
                             }
                         }
                         true
@@ -221,11 +223,14 @@
         private suspend fun pass(
             reply: Message,
             home: HomeAt,
+            target: EngineHost,
         ): Boolean {
             when (reply) {
                 is TurnBegun -> {
                     homes.learn(program, home)
-                    caller.begin(reply.status, reply.headers.map { it.name to it.value })
+                    val headers = reply.headers.map { it.name to it.value }
+                    if (CallHeaders.isLeaving(headers)) upstreams.leaves(target.upstream)
+                    caller.begin(reply.status, headers)
                 }
                 is TurnBytes -> caller.write(reply.bytes)
                 is TurnWhole -> {
@@ -254,6 +259,10 @@
                 TurnRefusal.NOT_NOW -> {
                     answer(OwnAnswer.NOT_RUN, reply.detail, reply.retryAfter ?: RETRY_AFTER)
                 }
+                TurnRefusal.TARGET_LEAVES -> {
+                    upstreams.leaves(target.upstream)
+                    return Sent.Elsewhere(reply.detail)
+                }
                 TurnRefusal.TARGET_GONE -> {
                     excluded += target.upstream.id
                     return Sent.Elsewhere(reply.detail)
--- a/gateway/src/main/kotlin/sycamore/gateway/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/UpstreamAttempt.kt
@@ -49,6 +49,7 @@
     private val call: AcceptedCall,
     private val upstream: ListedUpstream,
     private val callUpstream: CallUpstream,
+    private val onLeaving: (ListedUpstream) -> Unit,
 ) {
     private val held = ByteArrayOutputStream()
     private var head: AnswerEvent.Head? = null
@@ -107,6 +108,7 @@
 
     private suspend fun begin(event: AnswerEvent.Head) {
         head = event
+        if (CallHeaders.isLeaving(event.headers)) onLeaving(upstream)
         fault = faultOf(event)
         if (fault == null && isStream) passOn()
     }
--- a/gateway/src/test/kotlin/sycamore/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/sycamore/gateway/GatewayTest.kt
@@ -135,6 +135,35 @@
             assertEquals(502, send("/calls/1", "a").status.code)
         }
 
+    /** The list of upstreams may tell it later, or not at all while the store is away (DRAIN). */
+    @Test
+    fun `an upstream whose answer says that it leaves gets no further call`() =
+        gateway {
+            upstream = { _, request -> answer(request, 200, SampleDocuments.leaving) }
+            assertEquals(200, send("/calls/1", "a").status.code)
+            upstream = { _, request -> whole(request) }
+            repeat(5) { assertEquals(200, send("/calls/1", "b$it").status.code) }
+            assertEquals(1, sent.count { it == sent.first() }, "found calls to $sent")
+        }
+
+    @Test
+    fun `a refusal that says that the upstream leaves counts too`() =
+        gateway {
+            upstream =
+                { number, request ->
+                    if (number == 0) leavingRefusal(request) else whole(request)
+                }
+            repeat(5) { assertEquals(200, send("/calls/1", "b$it").status.code) }
+            assertEquals(1, sent.count { it == sent.first() }, "found calls to $sent")
+        }
+
+    private fun leavingRefusal(request: UpstreamRequest): Flow<AnswerEvent> =
+        flow {
+            val headers = SampleDocuments.answer(request.headers) + SampleDocuments.notRun + SampleDocuments.leaving
+            emit(AnswerEvent.Head(503, headers))
+            emit(AnswerEvent.End(isFramed = true))
+        }
+
     @Test
     fun `a turn whose program's home cannot be told is refused as not run`() =
         gateway {
--- a/homes/src/main/kotlin/sycamore/homes/EngineCall.kt
+++ b/homes/src/main/kotlin/sycamore/homes/EngineCall.kt
@@ -24,6 +24,7 @@
 internal class EngineCall(
     private val callUpstream: CallUpstream,
     private val call: RunTurn,
+    private val onLeaving: () -> Unit,
 ) {
     private var head: AnswerHead? = null
 
@@ -60,6 +61,7 @@
     ) {
         val answer = CallHeaders.answer(event.status, event.headers)
         head = answer
+        if (answer.isLeaving) onLeaving()
         if (answer.isNotRun) return
         if (answer.id != call.turn) throw UnusableAnswerException("the engine's answer is to ${answer.id}")
         if (answer.isEncoded) throw UnusableAnswerException("the engine's answer is encoded")
@@ -70,10 +72,16 @@
     }
 
     private fun refusal(answer: AnswerHead): TurnRefused =
-        if (answer.status == MISDIRECTED) {
-            TurnRefused(TurnRefusal.TARGET_GONE, "another upstream answers at ${call.target.address}")
-        } else {
-            TurnRefused(TurnRefusal.NOT_NOW, "the engine answered ${answer.status} and did not run the turn", BUSY)
+        when {
+            answer.status == MISDIRECTED ->
+                TurnRefused(TurnRefusal.TARGET_GONE, "another upstream answers at ${call.target.address}")
+            answer.isLeaving -> TurnRefused(TurnRefusal.TARGET_LEAVES, "${call.target.id} leaves")
+            else ->
+                TurnRefused(
+                    TurnRefusal.NOT_NOW,
+                    "the engine answered ${answer.status} and did not run the turn",
+                    BUSY,
+                )
         }
 
     private fun notReached(e: UpstreamException) =
--- a/homes/src/main/kotlin/sycamore/homes/GateRunner.kt
+++ b/homes/src/main/kotlin/sycamore/homes/GateRunner.kt
@@ -1,9 +1,13 @@
 package sycamore.homes
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.emitAll
 import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.flow.flowOf
+import sycamore.daemon.log.event
 import sycamore.forwarding.CallUpstream
+import sycamore.forwarding.LeavingUpstreams
 import sycamore.links.Exchange
 import sycamore.links.Message
 import sycamore.links.RunPrompt
@@ -14,6 +18,8 @@
 import sycamore.model.Address
 import kotlin.time.TimeSource
 
+private val log = KotlinLogging.logger {}
+
 /** Sends a composed turn to its engine. Yields the messages of the answer, from [TurnSent] to the last one. */
 internal typealias SendPrompt = (call: RunTurn, prompt: ByteArray) -> Flow<Message>
 
@@ -21,6 +27,7 @@
  * Sends turns through the gate of the engine that they go to.
  *
  * @property own the engine beside this daemon.
+ * @property leaving engines that said that they leave. They get no turn that comes after that.
  */
 internal class GateRunner(
     private val own: Address?,
@@ -28,6 +35,7 @@
     private val callUpstream: CallUpstream,
     private val exchange: Exchange,
     private val time: TimeSource,
+    private val leaving: LeavingUpstreams = LeavingUpstreams(),
 ) {
     /** Sends [prompt] by the gate here, by that of another host, or straight to an engine that has none. */
     fun send(
@@ -38,10 +46,11 @@
         return when {
             call.target.address == own -> atOwn(call, prompt)
             host != null -> flow { emitAll(exchange(host, RunPrompt(call, prompt))) }
+            call.target in leaving -> refused(call)
             else ->
                 flow {
                     emit(TurnSent)
-                    EngineCall(callUpstream, call).run(prompt, call.timeLeft, this)
+                    engineCall(call).run(prompt, call.timeLeft, this)
                 }
         }
     }
@@ -50,6 +59,11 @@
     fun atOwn(
         call: RunTurn,
         prompt: ByteArray,
+    ): Flow<Message> = if (call.target in leaving) refused(call) else queued(call, prompt)
+
+    private fun queued(
+        call: RunTurn,
+        prompt: ByteArray,
     ): Flow<Message> =
         flow {
             val arrived = time.markNow()
@@ -59,10 +73,19 @@
                 is Passage.Granted ->
                     try {
                         emit(TurnSent)
-                        EngineCall(callUpstream, call).run(prompt, call.timeLeft - arrived.elapsedNow(), this)
+                        engineCall(call).run(prompt, call.timeLeft - arrived.elapsedNow(), this)
                     } finally {
                         passage.release()
                     }
             }
         }
+
+    private fun engineCall(call: RunTurn) = EngineCall(callUpstream, call) { leaves(call) }
+
+    private fun leaves(call: RunTurn) {
+        if (leaving.add(call.target)) log.event("upstream-leaves", "upstream" to call.target.id, "request" to call.turn)
+    }
+
+    private fun refused(call: RunTurn): Flow<Message> =
+        flowOf(TurnRefused(TurnRefusal.TARGET_LEAVES, "${call.target.id} leaves"))
 }
--- a/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
@@ -557,6 +557,43 @@
             assertTrue(currentTime - began < 500, "found ${currentTime - began} ms")
         }
 
+    /** An engine that leaves takes turns for a while, and its registration may not tell it (DRAIN). */
+    @Test
+    fun `an engine whose answer says that it leaves gets no further turn, by its own host or another`() =
+        home { fixture ->
+            fixture.start(1)
+            fixture.start(2)
+            fixture.isEngineLeaving = true
+            assertEquals("whole", fixture.turn(1, "a").outcome())
+            fixture.isEngineLeaving = false
+            fixture.keys.switch { it.copy(down = true) }
+            assertEquals("TARGET_LEAVES", fixture.turn(1, "b", "a").outcome())
+            val fromOther = fixture.call(1, "c", program = "q")
+            assertEquals("TARGET_LEAVES", fixture.exchange(address(2), fromOther).toList().outcome())
+            assertEquals(setOf("a"), fixture.prompts.keys)
+        }
+
+    @Test
+    fun `an engine that starts again under its id gets turns again`() =
+        home { fixture ->
+            fixture.start(1)
+            fixture.isEngineLeaving = true
+            assertEquals("whole", fixture.turn(1, "a").outcome())
+            val call = fixture.call(1, "b", "a")
+            val again = call.copy(target = call.target.copy(bornMillis = 2))
+            assertEquals("whole", fixture.exchange(address(1), again).toList().outcome())
+        }
+
+    /** Its refusals say so too, and the turn can be sent elsewhere. */
+    @Test
+    fun `a refusal of an engine that leaves is told apart from one that is full`() =
+        home { fixture ->
+            fixture.start(1)
+            fixture.isFull = true
+            fixture.isEngineLeaving = true
+            assertEquals("TARGET_LEAVES", fixture.turn(1, "a").outcome())
+        }
+
     @Test
     fun `a turn that does not exist is refused`() =
         home { fixture ->
--- a/homes/src/test/kotlin/sycamore/homes/HomeFixture.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeFixture.kt
@@ -44,6 +44,7 @@
 import sycamore.model.ServiceName
 import sycamore.platform.HostSettings
 import sycamore.platform.PlatformBounds
+import sycamore.platform.SampleDocuments
 import sycamore.platform.StoreSettings
 import sycamore.routing.AttemptId
 import sycamore.routing.ListedUpstream
@@ -93,6 +94,9 @@
     /** Whether an engine says that it has not run a turn. */
     var isFull = false
 
+    /** Whether an engine says in its answers that it leaves. */
+    var isEngineLeaving = false
+
     val exchange: Exchange = { to, message -> flow { emitAll(deliver(to, message)) } }
 
     private suspend fun deliver(
@@ -203,11 +207,12 @@
             val prompt = request.body.decodeToString()
             val turn = prompt.substringAfterLast("in-").removeSuffix(";")
             prompts[turn] = prompt
-            val full = if (isFull) listOf("X-Not-Run" to "1") else emptyList()
+            val full = if (isFull) listOf(SampleDocuments.notRun) else emptyList()
+            val leaving = if (isEngineLeaving) listOf(SampleDocuments.leaving) else emptyList()
             emit(
                 AnswerEvent.Head(
                     if (isFull) FULL else OK,
-                    listOf("X-Request-Id" to turn, "X-Server-Stamp" to "s") + full,
+                    listOf("X-Request-Id" to turn, "X-Server-Stamp" to "s") + full + leaving,
                 ),
             )
             for ((id, data) in events.withIndex()) {
--- a/links/src/main/kotlin/sycamore/links/TurnMessage.kt
+++ b/links/src/main/kotlin/sycamore/links/TurnMessage.kt
@@ -122,6 +122,9 @@
     /** Another upstream has the address of its target, or the target is gone. */
     TARGET_GONE,
 
+    /** The target said that it leaves, and takes no more calls. */
+    TARGET_LEAVES,
+
     /** The home is not ready or has ended, or the program lives at another one. */
     NOT_HERE,
 }
