Keep each record on one disk more than may be lost at once, and in the home's region

What callers would see on the grown sites: turns and budgets lost when two disks and all power are lost at once, as those sites say has to be borne. Two retainers kept each record whatever the settings said; the loss of two disks lost what the store did not have yet, some two seconds of turns.

Change: copies follow the settings (fault_tolerance.machines + 1; one more is named). Retainers are chosen in the home's region first, one of each place before a second one: the second copy went to a place by hash, mostly in another region, 24 ms away there and back and paid for by its bytes.

--- a/decisions/src/main/kotlin/sycamore/decisions/turns/EnginePlacement.kt
+++ b/decisions/src/main/kotlin/sycamore/decisions/turns/EnginePlacement.kt
@@ -3,13 +3,6 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** How far an engine is from the callers of a place. */
-enum class Distance {
-    SAME_PLACE,
-    SAME_REGION,
-    OTHER_REGION,
-}
-
 /**
  * An engine that could take a turn.
  *
--- a/gateway/src/main/kotlin/sycamore/gateway/EngineChoice.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/EngineChoice.kt
@@ -60,12 +60,7 @@
         excluded: Set<UpstreamId>,
     ): Boolean = !host.upstream.isLeaving && host.upstream.service == service && host.upstream.id !in excluded
 
-    private fun distance(host: EngineHost): Distance =
-        when {
-            host.upstream.place == place.name -> Distance.SAME_PLACE
-            regions[host.upstream.place] == place.region -> Distance.SAME_REGION
-            else -> Distance.OTHER_REGION
-        }
+    private fun distance(host: EngineHost): Distance = Distance.between(place, host.upstream.place, regions)
 
     /** The load of [host]; null when its daemon takes no turns, or did not answer. */
     private fun load(host: EngineHost): EngineLoad<EngineHost>? {
--- a/gateway/src/test/kotlin/sycamore/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/sycamore/gateway/GatewayTest.kt
@@ -265,6 +265,7 @@
                 readiness = null,
                 upstream = null,
                 dataFolder = null,
+                disksLost = 1,
                 bounds = PlatformBounds(2.5.seconds, 8.seconds, 2.5.seconds, 1.seconds),
                 store = StoreSettings(Address("127.0.0.1", 1), 400.0, 2000.0, 1 shl 20),
                 memoryMib = 256,
--- a/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
@@ -18,6 +18,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.daemon.homes.HomeList
 import sycamore.daemon.log.event
+import sycamore.decisions.turns.Distance
 import sycamore.forwarding.CallUpstream
 import sycamore.links.AskGate
 import sycamore.links.AskPrompt
@@ -47,6 +48,7 @@
 import sycamore.model.HomeId
 import sycamore.model.HostName
 import sycamore.model.Incarnation
+import sycamore.model.PlaceName
 import sycamore.platform.HostSettings
 import sycamore.services.KeyValue
 import sycamore.services.Read
@@ -73,13 +75,15 @@
 ) {
     private val scope = CoroutineScope(context + SupervisorJob(context[Job]) + CoroutineExceptionHandler(::failed))
     private val meters = TurnMeters(registry)
+    private val copies = RecordCopies(settings.disksLost)
     private val gate = EngineGate(time)
     private val gates = GateRunner(settings.upstream, gate, callUpstream, exchange, time)
     private val retainers =
         RetainerDirectory(
             keys,
             settings.name,
-            settings.place.name,
+            copies,
+            ::distance,
             exchange,
             time,
             named = { home.journal.named.value },
@@ -87,7 +91,7 @@
             changed = { home.journal.check() },
         )
     private val homes = HomeList(keys)
-    private val takeovers = HomeTakeovers(keys, exchange, scope, meters, time) { home }
+    private val takeovers = HomeTakeovers(keys, exchange, copies, scope, meters, time) { home }
     private val spent = SpentPrograms(keys, scope)
     private val turns = AtomicInteger()
 
@@ -143,12 +147,15 @@
         delay(LAST_REPLIES)
     }
 
+    private fun distance(place: PlaceName): Distance = Distance.between(settings.place, place, settings.places)
+
     private fun newHome(): TurnHome {
         val id = HomeId(settings.place.name, settings.name, Incarnation.random())
         return TurnHome(
             id,
             settings.links,
-            settings.place.name,
+            copies,
+            ::distance,
             keys,
             retainers,
             spent,
--- a/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
@@ -35,7 +35,6 @@
 import sycamore.turns.HomeKeys
 import sycamore.turns.LogRecord
 import sycamore.turns.Retainer
-import sycamore.turns.RetainerId
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration.Companion.milliseconds
@@ -49,6 +48,7 @@
 internal class HomeTakeovers(
     private val keys: KeyValue,
     private val exchange: Exchange,
+    private val copies: RecordCopies,
     private val scope: CoroutineScope,
     private val meters: TurnMeters,
     private val time: TimeSource,
@@ -230,19 +230,13 @@
     private suspend fun collect(lost: LostHome): List<LogRecord>? {
         val asked = lost.retainers.flatten().distinctBy { it.id }
         val replies = coroutineScope { asked.map { async { it.id to end(it, lost.home) } }.awaitAll() }.toMap()
-        val isEnough = lost.retainers.all { group -> isEnough(group, replies) }
+        val isEnough =
+            lost.retainers.all { group ->
+                copies.isEnough(group.count { replies[it.id] != null }, group.size)
+            }
         return if (isEnough) replies.values.filterNotNull().flatMap { it.records } else null
     }
 
-    /** Whether no record that enough of [group] keep can be missed: all but one of them answered. */
-    private fun isEnough(
-        group: List<Retainer>,
-        replies: Map<RetainerId, RecordsOf?>,
-    ): Boolean {
-        if (group.size < RecordRetention.COPIES) return true
-        return group.count { replies[it.id] != null } > group.size - RecordRetention.COPIES
-    }
-
     private suspend fun end(
         retainer: Retainer,
         lost: HomeId,
--- a/homes/src/main/kotlin/sycamore/homes/RecordRetention.kt
+++ b/homes/src/main/kotlin/sycamore/homes/RecordRetention.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.flow.update
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import sycamore.decisions.turns.Distance
 import sycamore.links.Declined
 import sycamore.links.Done
 import sycamore.links.Exchange
@@ -27,12 +28,13 @@
 /**
  * Has the records of a home kept on the disks of retainers until they are committed.
  *
- * All records that wait are sent to a retainer in one message, one message at a time. Two retainers get every record;
- * another one joins when they are late.
+ * All records that wait are sent to a retainer in one message, one message at a time. As many retainers as [copies] says get every
+ * record; another one joins when they are late.
  */
 internal class RecordRetention(
     private val journal: HomeJournal,
-    private val place: PlaceName,
+    private val copies: RecordCopies,
+    private val distance: (PlaceName) -> Distance,
     private val exchange: Exchange,
     private val directory: RetainerDirectory,
 ) {
@@ -103,7 +105,7 @@
 
     private fun raise(number: Long) = safe.update { maxOf(it, number) }
 
-    /** The last number up to which each record is committed or kept by [COPIES] retainers. */
+    /** The last number up to which each record is committed or kept by as many retainers as it takes. */
     private fun safeUpTo(
         kept: List<Kept>,
         committed: Long,
@@ -111,17 +113,17 @@
         var number = maxOf(committed, safe.value)
         while (true) {
             val holders = kept.filter { it.from <= number && it.kept > number }.map { it.kept }.sortedDescending()
-            number = holders.getOrNull(COPIES - 1) ?: return number
+            number = holders.getOrNull(copies.least - 1) ?: return number
         }
     }
 
     private suspend fun serve(named: List<Retainer>) {
-        val nearest = named.sortedBy { if (it.place == place) 0 else 1 }
+        val nearest = named.sortedBy { distance(it.place) }
         keepers.value =
             nearest.mapIndexed { index, retainer ->
-                Kept(retainer, safe.value, safe.value, isUsed = index < COPIES)
+                Kept(retainer, safe.value, safe.value, isUsed = index < copies.least)
             }
-        journal.isUrgent = named.size < COPIES
+        journal.isUrgent = named.size < copies.least
         coroutineScope { named.forEach { retainer -> launch { feed(retainer) } } }
     }
 
@@ -196,9 +198,9 @@
     private fun settle() {
         val current = keepers.value
         val prompt = current.filter { it.isUsed && !it.isLate && it.kept >= safe.value }
-        journal.isUrgent = current.count { !it.isLate } < COPIES
-        if (prompt.size <= COPIES) return
-        val kept = prompt.take(COPIES).map { it.retainer.id }
+        journal.isUrgent = current.count { !it.isLate } < copies.least
+        if (prompt.size <= copies.least) return
+        val kept = prompt.take(copies.least).map { it.retainer.id }
         keepers.update { all -> all.map { if (it.retainer.id in kept) it else it.copy(isUsed = false) } }
     }
 
@@ -207,22 +209,16 @@
         change: (Kept) -> Kept,
     ) = keepers.update { all -> all.map { if (it.retainer.id == id) change(it) else it } }
 
-    companion object {
-        /** Retainers that have to keep a record, so that the loss of one disk loses nothing. */
-        const val COPIES = 2
-
-        /** Retainers that are named, so that records stay safe while one of them is away. */
-        const val NAMED = 3
-
+    private companion object {
         /** Twice the way to the farthest region and back, and the disk's sync. */
-        private val LATE = 60.milliseconds
-        private val ASK_LIMIT = 1.seconds
-        private val RETRY = 100.milliseconds
+        val LATE = 60.milliseconds
+        val ASK_LIMIT = 1.seconds
+        val RETRY = 100.milliseconds
 
         /** A retainer that does not answer for this many periods is gone, or its host was replaced. */
-        private const val RELEASE_ATTEMPTS = 30
+        const val RELEASE_ATTEMPTS = 30
 
         /** How often retainers learn what they need not keep any more, when nothing else is sent. */
-        private val TELL_PERIOD = 1.seconds
+        val TELL_PERIOD = 1.seconds
     }
 }
--- a/homes/src/main/kotlin/sycamore/homes/RetainerDirectory.kt
+++ b/homes/src/main/kotlin/sycamore/homes/RetainerDirectory.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.SerializationException
+import sycamore.decisions.turns.Distance
 import sycamore.links.AskRetainer
 import sycamore.links.Declined
 import sycamore.links.Done
@@ -45,7 +46,8 @@
 internal class RetainerDirectory(
     private val keys: KeyValue,
     private val host: HostName,
-    private val place: PlaceName,
+    private val copies: RecordCopies,
+    private val distance: (PlaceName) -> Distance,
     private val exchange: Exchange,
     private val time: TimeSource.WithComparableMarks,
     private val named: () -> List<Retainer>,
@@ -71,24 +73,35 @@
         val usable = usable()
         val serving = usable.filter { isServing(it.id) }
         val kept = named.filter { old -> serving.any { it.id == old.id } }
-        val chosen = (kept + ranked(serving - kept.toSet(), kept)).take(RecordRetention.NAMED)
+        val chosen = (kept + ranked(serving - kept.toSet(), kept)).take(copies.named)
         // One that does not answer stays named while there is no other: it may come back with what it keeps.
         val silent = named.filter { old -> usable.any { it.id == old.id } && old !in chosen }
-        return order(chosen + silent.take(RecordRetention.NAMED - chosen.size))
+        return order(chosen + silent.take(copies.named - chosen.size))
     }
 
     private fun usable(): List<Retainer> = registered.values.filter { !it.isLeaving && it.id !in gone }
 
-    /** [retainers] in the order in which they would be named beside [kept]; hosts of one place begin with different ones. */
+    /**
+     * [retainers] in the order in which they would be named beside [kept]: the nearest first, but one of each place of the region
+     * before a second one. Hosts of one place begin with different ones.
+     */
     private fun ranked(
         retainers: List<Retainer>,
         kept: List<Retainer>,
+    ): List<Retainer> {
+        val (near, far) = retainers.partition { distance(it.place) < Distance.OTHER_REGION }
+        return byPlaces(near, kept) + byPlaces(far, kept)
+    }
+
+    private fun byPlaces(
+        retainers: List<Retainer>,
+        kept: List<Retainer>,
     ): List<Retainer> {
         val sorted =
             retainers.sortedWith(
                 compareBy(
                     { other -> kept.any { it.place == other.place } },
-                    { it.place != place },
+                    { distance(it.place) },
                     { (host.value + it.host.value).hashCode() },
                 ),
             )
@@ -101,7 +114,7 @@
         val usable = usable()
         val kept = usable.filter { retainer -> named().any { it.id == retainer.id } }
         val next = ranked(usable - kept.toSet(), kept).filterNot { isSilent(it.id) }
-        return kept + next.take(RecordRetention.NAMED + SPARE - kept.size)
+        return kept + next.take(copies.named + SPARE - kept.size)
     }
 
     /** Whether [id] was asked and did not answer; it is asked once more after a while. */
@@ -111,7 +124,7 @@
     }
 
     private fun order(retainers: List<Retainer>): List<Retainer> =
-        retainers.sortedWith(compareBy({ it.place != place }, { it.host.value }))
+        retainers.sortedWith(compareBy({ distance(it.place) }, { it.host.value }))
 
     private fun isServing(id: RetainerId): Boolean =
         answered.containsKey(id) && unanswered[id]?.let { it.elapsedNow() >= SILENCE } != true
@@ -172,8 +185,8 @@
         val began = time.markNow()
         while (asking.isActive) {
             val serving = usable().count { isServing(it.id) }
-            val isEnough = serving >= RecordRetention.NAMED
-            if (isEnough || serving >= RecordRetention.COPIES && began.elapsedNow() > FIRST_ANSWERS) return
+            val isEnough = serving >= copies.named
+            if (isEnough || serving >= copies.least && began.elapsedNow() > FIRST_ANSWERS) return
             delay(FIRST_CHECK)
         }
     }
--- a/homes/src/main/kotlin/sycamore/homes/TurnHome.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnHome.kt
@@ -8,6 +8,7 @@
 import sycamore.daemon.Background
 import sycamore.daemon.homes.HomeList
 import sycamore.daemon.log.event
+import sycamore.decisions.turns.Distance
 import sycamore.links.CountTokens
 import sycamore.links.Exchange
 import sycamore.links.ForgetPrograms
@@ -42,7 +43,8 @@
 internal class TurnHome(
     val id: HomeId,
     val address: Address,
-    place: PlaceName,
+    copies: RecordCopies,
+    distance: (PlaceName) -> Distance,
     private val keys: KeyValue,
     private val retainers: RetainerDirectory,
     spent: SpentPrograms,
@@ -71,7 +73,7 @@
             onSilent,
         )
     val journal = HomeJournal(id, keys, time, retainers::choose)
-    val retention = RecordRetention(journal, place, exchange, retainers)
+    val retention = RecordRetention(journal, copies, distance, exchange, retainers)
 
     private val registered = CompletableDeferred<Unit>()
 
--- a/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
@@ -39,9 +39,10 @@
 class HomeDaemonTest {
     private fun home(
         retainers: Int = 3,
+        disksLost: Int = 1,
         test: suspend TestScope.(HomeFixture) -> Unit,
     ) = runTest {
-        val fixture = HomeFixture(this)
+        val fixture = HomeFixture(this, disksLost)
         (1..retainers).forEach { fixture.retainer(it) }
         test(fixture)
     }
@@ -120,6 +121,21 @@
             assertEquals("whole", fixture.turn(2, "b", "a").outcome())
         }
 
+    /** Two retainers kept each record on sites where two disks may be lost at once (SHORT, and LOST once it was played to its end). */
+    @Test
+    fun `where two disks may be lost at once a killed home's turns are served after both were`() =
+        home(retainers = 6, disksLost = 2) { fixture ->
+            fixture.start(1)
+            fixture.start(2)
+            fixture.turn(1, "a")
+            val lost = fixture.at(1)
+            fixture.kill(address(1))
+            val keeping = fixture.retainers.filter { it.count > 0 }.take(2)
+            keeping.forEach { fixture.kill(it.self.address) }
+            assertIs<HomeTaken>(fixture.take(lost, by = 2))
+            assertEquals("whole", fixture.turn(2, "b", "a").outcome())
+        }
+
     @Test
     fun `a restarted host takes over its own former home`() =
         home { fixture ->
--- a/homes/src/test/kotlin/sycamore/homes/HomeFixture.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeFixture.kt
@@ -2,7 +2,7 @@
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import kotlinx.collections.immutable.persistentListOf
-import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toImmutableMap
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
@@ -69,6 +69,8 @@
 /** Homes, retainers and a store in one process and in virtual time, with links that can be cut. */
 internal class HomeFixture(
     private val test: TestScope,
+    private val disksLost: Int = 1,
+    private val regions: Map<String, String> = emptyMap(),
 ) {
     val time = test.testTimeSource
     val keys = FaultyKeyValue(KeyValueStore(time), time)
@@ -79,6 +81,9 @@
     /** Addresses that cannot be reached: hosts that are cut off, or without power. */
     val cut = HashSet<Address>()
 
+    /** All retainers that were started. */
+    val retainers = ArrayList<FakeRetainer>()
+
     private val daemons = HashMap<Address, Serve>()
     private val scopes = HashMap<Address, CoroutineScope>()
 
@@ -144,6 +149,7 @@
         val retainer = Retainer(RetainerId(id), HostName("s$number"), PlaceName(place), Address("10.1.0.$number", PORT))
         val fake = FakeRetainer(retainer)
         daemons[retainer.address] = fake::serve
+        retainers += fake
         assertIs<Write.Taken>(keys.put(RetainerKeys.key(retainer.id), RetainerKeys.encode(retainer), Revision.ABSENT))
         return fake
     }
@@ -226,6 +232,28 @@
             emit(AnswerEvent.End(isFramed = true))
         }
 
+    private fun settings(
+        name: String,
+        place: String,
+        number: Int,
+    ) = HostSettings(
+        name = HostName(name),
+        place = Place(PlaceName(place), RegionName(regions[place] ?: place)),
+        places = regions.entries.associate { PlaceName(it.key) to RegionName(it.value) }.toImmutableMap(),
+        ip = address(number).ip,
+        firstPort = PORT,
+        lastPort = PORT,
+        callers = null,
+        readiness = null,
+        upstream = engine(number),
+        dataFolder = null,
+        disksLost = disksLost,
+        bounds = PlatformBounds(2.5.seconds, 8.seconds, 2.5.seconds, 1.seconds),
+        store = StoreSettings(Address("10.9.0.1", 1), 400.0, 2000.0, 1 shl 20),
+        memoryMib = 256,
+        contracts = persistentListOf(),
+    )
+
     companion object {
         private const val PORT = 7000
         private const val OK = 200
@@ -243,27 +271,6 @@
                 is TurnRefused -> last.reason.name
                 else -> "none"
             }
-
-        private fun settings(
-            name: String,
-            place: String,
-            number: Int,
-        ) = HostSettings(
-            name = HostName(name),
-            place = Place(PlaceName(place), RegionName(place)),
-            places = persistentMapOf(),
-            ip = address(number).ip,
-            firstPort = PORT,
-            lastPort = PORT,
-            callers = null,
-            readiness = null,
-            upstream = engine(number),
-            dataFolder = null,
-            bounds = PlatformBounds(2.5.seconds, 8.seconds, 2.5.seconds, 1.seconds),
-            store = StoreSettings(Address("10.9.0.1", 1), 400.0, 2000.0, 1 shl 20),
-            memoryMib = 256,
-            contracts = persistentListOf(),
-        )
     }
 }
 
