Read a peer's proof before it is refused, so that it learns the reason

Cause: the acceptor refused an unknown key after the first frame and closed the connection while the dialling end was still sending its proof. The write on the closed channel failed before the refusal was read, and bytes that arrive at a closed socket reset the connection, which drops the refusal.

The order of reads and writes is checked without sockets (`a peer has sent its proof before it is refused for its key`; failed before: [read, write, write]).

A failure without a message is now named by its type.

--- a/links/src/main/kotlin/sycamore/links/Handshake.kt
+++ b/links/src/main/kotlin/sycamore/links/Handshake.kt
@@ -71,9 +71,11 @@
         pipe.write(mine)
         try {
             val version = agree(peer)
+            // Read in any case: a connection closed with bytes unread is reset, and the peer loses the refusal.
+            val proof = pipe.read(MAX_BYTES)
             val key = keys.find(peer.keyId)
             if (key == null && keys.all.isNotEmpty()) throw LinkRefusedException("no such key as '${peer.keyId}'")
-            verify(pipe.read(MAX_BYTES), key, DIALLER, theirs, mine)
+            verify(proof, key, DIALLER, theirs, mine)
             pipe.write(proof(key, ACCEPTOR, theirs, mine))
             return Peer(peer.from, version)
         } catch (e: LinkRefusedException) {
--- a/links/src/main/kotlin/sycamore/links/LinkClient.kt
+++ b/links/src/main/kotlin/sycamore/links/LinkClient.kt
@@ -101,7 +101,8 @@
         } catch (e: Exception) {
             pipe?.close()
             if (e is LinkRefusedException) log.warn { "no link to $to: ${e.message}" }
-            throw LinkException("cannot reach $to: ${e.message}", sent = false, isRefused = isRefusal(e))
+            val reason = e.message ?: e::class.simpleName
+            throw LinkException("cannot reach $to: $reason", sent = false, isRefused = isRefusal(e))
         }
     }
 
--- a/links/src/test/kotlin/sycamore/links/HandshakeTest.kt
+++ b/links/src/test/kotlin/sycamore/links/HandshakeTest.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.flow.toList
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
+import kotlinx.serialization.encodeToByteArray
 import sycamore.model.HostName
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -59,6 +60,35 @@
             }
         }
 
+    /** Guards against a refusal that is lost, since its reader was still sending when the connection was closed. */
+    @Test
+    fun `a peer has sent its proof before it is refused for its key`() =
+        runTest {
+            val order = ArrayList<String>()
+            val hello = Hello(2, 2, HostName("client"), ByteArray(16))
+            val proof = Proof(Envelope.NOTHING)
+            val cbor = FrameCodec.cbor
+            val pipe = scriptedPipe(listOf(cbor.encodeToByteArray(hello), cbor.encodeToByteArray(proof)), order)
+            val refusing = Handshake(HostName("server"), LinkKeys(listOf(old)))
+            assertFailsWith<LinkRefusedException> { refusing.accept(pipe) }
+            assertEquals(listOf("read", "write", "read", "write"), order)
+        }
+
+    private fun scriptedPipe(
+        frames: List<ByteArray>,
+        order: MutableList<String>,
+    ) = object : Pipe {
+        private val left = ArrayDeque(frames)
+
+        override suspend fun read(limit: Int) = left.removeFirst().also { order += "read" }
+
+        override fun put(frame: ByteArray): Boolean = order.add("write")
+
+        override suspend fun drain() = Unit
+
+        override fun close() = Unit
+    }
+
     @Test
     fun `a recorded handshake proves nothing later`() =
         runTest {
