--- a/homes/src/main/kotlin/sycamore/homes/HomeJournal.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeJournal.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.model.HomeId
+import sycamore.services.Backoff
 import sycamore.services.Item
 import sycamore.services.KeyValue
 import sycamore.services.Read
@@ -73,6 +74,7 @@
     private var sequence = 0L
     private var former: List<Retainer> = emptyList()
     private var lastWrite: ComparableTimeMark? = null
+    private val backoff = Backoff.prompt()
 
     /** The retainers that a successor will surely ask, as the committed part of the log says. */
     val named = MutableStateFlow<List<Retainer>>(emptyList())
@@ -257,9 +259,9 @@
         val value = LogSegments.encode(segment)
         while (!ended.isCompleted) {
             when (val write = keys.put(key, value, Revision.ABSENT)) {
-                is Write.Taken -> return true
-                is Write.Conflict -> write.current?.let { return isOwn(it, segment) } ?: delay(RETRY)
-                is Write.NotSent -> delay(RETRY)
+                is Write.Taken -> return true.also { backoff.reset() }
+                is Write.Conflict -> write.current?.let { return isOwn(it, segment) } ?: awaitRetry()
+                is Write.NotSent -> awaitRetry()
                 is Write.NotKnown -> readBack(key)?.let { return isOwn(it, segment) }
             }
         }
@@ -271,11 +273,14 @@
         while (!ended.isCompleted) {
             val read = keys.get(key)
             if (read is Read.Found) return read.value
-            delay(RETRY)
+            awaitRetry()
         }
         return null
     }
 
+    /** Turns wait for a commit that is urgent; any other one may follow the service's return by a second. */
+    private suspend fun awaitRetry() = delay(if (isUrgent || flushes.get() > 0) RETRY else backoff.next())
+
     /** Whether [item] holds [segment]; else it is the seal of a successor. */
     private fun isOwn(
         item: Item,
