Read a list of upstreams that changes in series once a second

The first change is still read at once. An upstream that leaves says so in its answers, and has drain_ms (2.5 s at least on the sites that we know) before it must be left alone; one that is gone is left alone after the first failed call.

--- a/gateway/src/main/kotlin/sycamore/gateway/UpstreamDirectory.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/UpstreamDirectory.kt
@@ -17,6 +17,7 @@
 import sycamore.services.Backoff
 import sycamore.services.Item
 import sycamore.services.KeyValue
+import sycamore.services.WatchTimes
 import sycamore.services.Watched
 import sycamore.services.watch
 import kotlin.time.Duration
@@ -77,7 +78,7 @@
 
     /** Follows the registrations until cancelled. */
     suspend fun run(scope: CoroutineScope) {
-        keys.watch(StoreKeys.UPSTREAMS, backoff = Backoff.prompt()).collect { watched ->
+        keys.watch(StoreKeys.UPSTREAMS, WatchTimes(pause = PAUSE), Backoff.prompt()).collect { watched ->
             when (watched) {
                 is Watched.Snapshot -> replace(scope, watched.items.mapNotNull(UpstreamEntries::decode))
                 is Watched.Changes -> watched.items.forEach(::change)
@@ -148,6 +149,9 @@
     }
 
     private companion object {
+        /** Upstreams come and go in series; one that leaves says so in its answers too, and has drain_ms to be left alone. */
+        val PAUSE = 1000.milliseconds
+
         /** A cut watch is followed again within this time; registrations do not lapse in it. */
         val SHORT_OUTAGE = 1000.milliseconds
 
