Run the daemons from one jar

The rehearsal that makes the class archive runs from the same jar, so that a service that got lost in merging fails the build.

--- a/deploy/archive.sh
+++ b/deploy/archive.sh
@@ -5,5 +5,5 @@
 cd "$(dirname "$0")/.."
 java -XX:ArchiveClassesAtExit=target/sycamore/classes.jsa -Xshare:auto -Xmx256m -Xss256k -XX:+UseSerialGC \
   -XX:TieredStopAtLevel=1 -Dsycamore.platform.logs=true \
-  -cp "target/sycamore/lib/*" sycamore.rehearsal.MainKt --metrics-port 9464 > target/sycamore/rehearsal.log 2>&1
+  -cp target/sycamore/daemons.jar sycamore.rehearsal.MainKt --metrics-port 9464 > target/sycamore/rehearsal.log 2>&1
 ls target/sycamore/classes.jsa > /dev/null
