--- a/homes/src/main/kotlin/sycamore/homes/RecordCopies.kt
+++ b/homes/src/main/kotlin/sycamore/homes/RecordCopies.kt
@@ -10,7 +10,10 @@
     /** Retainers that are named, so that records stay safe while one of them is away. */
     val named: Int get() = least + 1
 
-    /** Whether [answered] of [named] retainers cannot all be without a record that [least] of them keep. */
+    /**
+     * Whether [answered] of [named] retainers cannot all be without a record that [least] of them keep. With fewer named than that,
+     * records are committed before they count as safe.
+     */
     fun isEnough(
         answered: Int,
         named: Int,
--- a/homes/src/main/kotlin/sycamore/homes/RecordRetention.kt
+++ b/homes/src/main/kotlin/sycamore/homes/RecordRetention.kt
@@ -183,7 +183,7 @@
             val unused = keepers.value.find { !it.isUsed && !it.isLate }
             if (unused != null) {
                 log.info {
-                    "retainer ${unused.retainer.host} joins, since record $waiting is not kept twice after $LATE"
+                    "retainer ${unused.retainer.host} joins, since ${copies.least} do not keep record $waiting after $LATE"
                 }
                 change(unused.retainer.id) { it.copy(isUsed = true, from = safe.value, kept = safe.value) }
             } else {
