--- a/gateway/src/main/kotlin/sycamore/gateway/UpstreamDirectory.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/UpstreamDirectory.kt
@@ -149,7 +149,7 @@
     }
 
     private companion object {
-        /** Upstreams come and go in series; one that leaves says so in its answers too, and has drain_ms to be left alone. */
+        /** Upstreams come and go in series. Less than half of the 2.5 s after which one that leaves must be left alone. */
         val PAUSE = 1000.milliseconds
 
         /** A cut watch is followed again within this time; registrations do not lapse in it. */
