Keep upstreams whose registrations lapse together, also when a resumed watch reports it

Cause: while the store is silent, registrations of running upstreams lapse, and a watch that was held open resumes with all removals as changes.

--- a/gateway/src/main/kotlin/sycamore/gateway/UpstreamDirectory.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/UpstreamDirectory.kt
@@ -4,10 +4,12 @@
 import kotlinx.collections.immutable.ImmutableMap
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toImmutableMap
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import sycamore.daemon.log.event
+import sycamore.decisions.upstreams.MissingRegistrations
 import sycamore.forwarding.LeavingUpstreams
 import sycamore.model.ServiceName
 import sycamore.platform.StoreKeys
@@ -50,10 +52,13 @@
 
     private var unreachableSince: TimeMark? = null
 
+    private val firstRead = CompletableDeferred<Unit>()
+
     /** Whether the list of upstreams was read at least once. */
-    @Volatile
-    var isRead = false
-        private set
+    val isRead: Boolean get() = firstRead.isCompleted
+
+    /** Waits until the list of upstreams was read. */
+    suspend fun awaitRead() = firstRead.await()
 
     /** All upstreams, one for each address. If two registrations name the same address, the older one is outdated. */
     val all: List<ListedUpstream> get() = index.all
@@ -81,7 +86,7 @@
         keyValue.watch(StoreKeys.UPSTREAMS, WatchTimings(pause = WATCH_PAUSE), Backoff.shortPauses()).collect { event ->
             when (event) {
                 is WatchEvent.Snapshot -> replace(scope, event.items.mapNotNull(UpstreamEntries::decode))
-                is WatchEvent.Changes -> event.items.forEach(::change)
+                is WatchEvent.Changes -> applyChanges(scope, event.items)
                 is WatchEvent.Unreachable -> recordUnreachable(event.reason)
             }
         }
@@ -93,59 +98,76 @@
         log.info { "cannot watch the registrations of upstreams at present: $reason" }
     }
 
-    /**
-     * Replaces the list by a complete one. Registrations expire during an outage of the store, and running upstreams
-     * renew them afterwards, so upstreams that are missing after an outage are kept for [REREGISTRATION_TIME].
-     */
+    /** Returns for how long the service was unreachable until now, and forgets it. */
+    private fun endOutage(): Duration {
+        val outage = unreachableSince?.elapsedNow() ?: Duration.ZERO
+        unreachableSince = null
+        return outage
+    }
+
+    /** Replaces the list by a complete one. */
     @Synchronized
     private fun replace(
         scope: CoroutineScope,
         upstreams: List<ListedUpstream>,
     ) {
-        val outage = unreachableSince?.elapsedNow() ?: Duration.ZERO
-        unreachableSince = null
-        isRead = true
         val present = upstreams.associateBy { it.id }
         val missing = listed - present.keys
-        publish(if (outage > MAX_SHORT_OUTAGE) present + missing else present)
+        publish(present + keepLapsed(scope, missing))
+        firstRead.complete(Unit)
         log.info { "read ${present.size} registered upstreams, ${missing.size} previous ones are missing" }
-        if (outage > MAX_SHORT_OUTAGE && missing.isNotEmpty()) {
-            scope.launch {
-                delay(REREGISTRATION_TIME)
-                removeMissing(missing, seen = present.keys)
-            }
-        }
     }
 
-    /** Removes those of [missing] that have not registered again. */
     @Synchronized
-    private fun removeMissing(
-        missing: Map<UpstreamId, ListedUpstream>,
-        seen: Set<UpstreamId>,
+    private fun applyChanges(
+        scope: CoroutineScope,
+        items: List<Item>,
     ) {
-        val expired = missing.filter { (id, upstream) -> id !in seen && listed[id] === upstream }
-        if (expired.isEmpty()) return
-        publish(listed - expired.keys)
-        log.info { "removed the upstreams ${expired.keys}, which did not register again after an outage of the store" }
+        val changed = items.associateBy { UpstreamId(it.key.removePrefix(StoreKeys.UPSTREAMS)) }
+        val present = changed.mapNotNull { (id, item) -> UpstreamEntries.decode(item)?.let { id to it } }.toMap()
+        val missing = listed.filterKeys { it in changed && it !in present }
+        // A registration that cannot be decoded was overwritten, so it has not lapsed.
+        val kept = keepLapsed(scope, missing.filterKeys { changed.getValue(it).value == null })
+        present.values.forEach(::logChange)
+        (missing - kept.keys).values.forEach {
+            log.info { "upstream ${it.id} of ${it.service} at ${it.address} was removed" }
+        }
+        publish(listed - changed.keys + present + kept)
     }
 
-    @Synchronized
-    private fun change(item: Item) {
-        val id = UpstreamId(item.key.removePrefix(StoreKeys.UPSTREAMS))
-        val upstream = if (item.value == null) null else UpstreamEntries.decode(item)
-        val known = listed[id]
-        if (upstream == null) {
-            if (known != null) {
-                publish(listed - id)
-                log.info { "upstream $id of ${known.service} at ${known.address} was removed" }
-            }
-            return
-        }
-        publish(listed + (id to upstream))
-        if (known == null || known.isLeaving != upstream.isLeaving || known.bornMillis != upstream.bornMillis) {
-            val state = if (upstream.isLeaving) "is leaving" else "accepts calls"
-            log.info { "upstream $id of ${upstream.service} at ${upstream.address} in ${upstream.place} $state" }
+    private fun logChange(upstream: ListedUpstream) {
+        val known = listed[upstream.id]
+        if (known != null && known.isLeaving == upstream.isLeaving && known.bornMillis == upstream.bornMillis) return
+        val state = if (upstream.isLeaving) "is leaving" else "accepts calls"
+        log.info { "upstream ${upstream.id} of ${upstream.service} at ${upstream.address} in ${upstream.place} $state" }
+    }
+
+    /**
+     * Returns those of the upstreams that are [missing] from the list which may be running without a registration. They
+     * are kept for [REREGISTRATION_TIME], in which running upstreams register again.
+     */
+    private fun keepLapsed(
+        scope: CoroutineScope,
+        missing: Map<UpstreamId, ListedUpstream>,
+    ): Map<UpstreamId, ListedUpstream> {
+        val outage = endOutage()
+        val unannounced = missing.filterValues { !it.isLeaving && it !in leaving }
+        if (!MissingRegistrations.mayBeRunning(unannounced.size, listed.size, outage)) return emptyMap()
+        log.event("registrations-lapsed", "upstreams" to unannounced.size, "of" to listed.size, "outage" to outage)
+        scope.launch {
+            delay(REREGISTRATION_TIME)
+            removeLapsed(unannounced)
         }
+        return unannounced
+    }
+
+    /** Removes those of [lapsed] that have not registered again. */
+    @Synchronized
+    private fun removeLapsed(lapsed: Map<UpstreamId, ListedUpstream>) {
+        val ended = lapsed.filter { (id, upstream) -> listed[id] === upstream }
+        if (ended.isEmpty()) return
+        publish(listed - ended.keys)
+        log.info { "removed the upstreams ${ended.keys}, which did not register again after an outage of the store" }
     }
 
     private companion object {
@@ -155,12 +177,6 @@
          */
         val WATCH_PAUSE = 1000.milliseconds
 
-        /**
-         * The time within which an interrupted watch is resumed. Registrations do not expire in an outage that is no
-         * longer.
-         */
-        val MAX_SHORT_OUTAGE = 1000.milliseconds
-
         /** Running upstreams register again within about two seconds after an outage of the store. */
         val REREGISTRATION_TIME = 2000.milliseconds
     }
