Ask unresponsive engines again at once while no other one accepts turns

Cause: after a loss of power gateways and homes start together. Change: a request for a load goes on for a second in the background and is shared by all turns; its answer counts whenever it arrives. Where no engine is known to accept turns, up to eight are asked again without the pause. AllHostsStartTogetherTest (virtual time).

--- a/decisions/src/main/kotlin/sycamore/decisions/turns/EnginePlacement.kt
+++ b/decisions/src/main/kotlin/sycamore/decisions/turns/EnginePlacement.kt
@@ -25,6 +25,12 @@
      */
     const val SAMPLE_SIZE = 3
 
+    /**
+     * Number of engines that are asked at once when none is known to accept turns, as after a power failure. More than
+     * [SAMPLE_SIZE], since most of them may still be starting.
+     */
+    const val UNRESPONSIVE_SAMPLE_SIZE = 8
+
     /** The engine of [loads] at which a turn is expected to end first, with the cost of the distance added. */
     fun <T> best(loads: Collection<EngineLoad<T>>): EngineLoad<T>? = loads.minByOrNull(::cost)
 
--- a/gateway/src/main/kotlin/sycamore/gateway/EngineDirectory.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/EngineDirectory.kt
@@ -1,8 +1,8 @@
 package sycamore.gateway
 
-import kotlinx.coroutines.async
-import kotlinx.coroutines.awaitAll
-import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.withTimeoutOrNull
+import sycamore.daemon.Background
 import sycamore.links.Exchange
 import sycamore.links.GateStatus
 import sycamore.links.GetGateStatus
@@ -42,6 +42,7 @@
     private val routes: RoutesInForce,
     private val exchange: Exchange,
     private val linkPort: Int,
+    private val background: Background,
     private val time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
 ) {
     private class Report(
@@ -53,6 +54,9 @@
 
     private val reports = ConcurrentHashMap<Address, Report>()
 
+    /** The requests for loads that are in progress. */
+    private val requests = ConcurrentHashMap<Address, CompletableDeferred<Unit>>()
+
     /** All engines, including those that are leaving. */
     val all: List<EngineHost> get() = upstreams.all.filter(::isEngine).map { engineHost(it) }
 
@@ -92,21 +96,47 @@
         reports[address] = Report(null, time.markNow())
     }
 
-    /** Returns [hosts] with their current loads. Requests the loads that are not fresh. */
-    suspend fun refresh(hosts: List<EngineHost>): List<EngineHost> {
-        val stale = hosts.map { it.address }.filter { address -> !isFresh(address) }
-        coroutineScope { stale.map { async { requestStatus(it) } }.awaitAll() }
+    /**
+     * Returns [hosts] with their current loads. Requests the loads that are not fresh, and waits [MAX_WAIT] for them. A
+     * daemon that has not responded by then counts as unresponsive until its answer arrives.
+     *
+     * @param retriesUnresponsive whether daemons that did not respond before are asked again without a pause, since no
+     *   other one accepts turns. After a power failure, daemons start at about the same time as this one.
+     */
+    suspend fun refresh(
+        hosts: List<EngineHost>,
+        retriesUnresponsive: Boolean = false,
+    ): List<EngineHost> {
+        val stale = hosts.map { it.address }.filterNot { isFresh(it, retriesUnresponsive) }
+        val pending = stale.associateWith(::requestStatus)
+        withTimeoutOrNull(MAX_WAIT) { pending.values.forEach { it.await() } }
+        pending.forEach { (address, request) -> if (!request.isCompleted) recordUnresponsive(address) }
         return hosts.map { engineHost(it.upstream) }
     }
 
-    private fun isFresh(address: Address): Boolean {
+    private fun isFresh(
+        address: Address,
+        retriesUnresponsive: Boolean,
+    ): Boolean {
         val last = reports[address] ?: return false
-        return last.receivedAt.elapsedNow() < if (last.status == null) UNRESPONSIVE_PAUSE else FRESH_AGE
+        val unresponsivePause = if (retriesUnresponsive) RETRY_PAUSE else UNRESPONSIVE_PAUSE
+        return last.receivedAt.elapsedNow() < if (last.status == null) unresponsivePause else FRESH_AGE
     }
 
-    private suspend fun requestStatus(address: Address) {
-        val status = exchange.ask(address, GetGateStatus, REQUEST_TIMEOUT) as? GateStatus
-        if (status == null) recordUnresponsive(address) else recordStatus(address, status)
+    /** Requests the load of the daemon at [address], unless a request is in progress already. */
+    private fun requestStatus(address: Address): CompletableDeferred<Unit> {
+        val request = CompletableDeferred<Unit>()
+        requests.putIfAbsent(address, request)?.let { return it }
+        background.launch("requesting the load of $address") {
+            try {
+                val status = exchange.ask(address, GetGateStatus, REQUEST_TIMEOUT) as? GateStatus
+                if (status == null) recordUnresponsive(address) else recordStatus(address, status)
+            } finally {
+                requests.remove(address)
+                request.complete(Unit)
+            }
+        }
+        return request
     }
 
     private companion object {
@@ -118,10 +148,16 @@
         /** The age from which a load is ignored. */
         val MAX_AGE: Duration = 1500.milliseconds
 
-        /** The time for which an unresponsive daemon gets no further request, about the duration of a restart. */
+        /** The time for which an unresponsive daemon gets no further request while others accept turns. */
         val UNRESPONSIVE_PAUSE: Duration = 1000.milliseconds
 
+        /** The time for which an unresponsive daemon gets no further request while no other one accepts turns. */
+        val RETRY_PAUSE: Duration = 50.milliseconds
+
         /** Several times the round trip to the farthest region. */
-        val REQUEST_TIMEOUT: Duration = 150.milliseconds
+        val MAX_WAIT: Duration = 150.milliseconds
+
+        /** A daemon that has just started may take this long to respond. */
+        val REQUEST_TIMEOUT: Duration = 1000.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/sycamore/gateway/EngineSelector.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/EngineSelector.kt
@@ -42,22 +42,33 @@
         return own ?: best(service, excluded)
     }
 
-    /** Compares a few engines of this place, and a few more distant ones if those are loaded. */
     private suspend fun best(
         service: ServiceName,
         excluded: Set<UpstreamId>,
     ): EngineHost? {
-        val byDistance = engineHosts.all.filter { acceptsTurns(it, service, excluded) }.groupBy(::distance)
+        val hosts = engineHosts.all.filter { acceptsTurns(it, service, excluded) }
+        return bestOfSample(hosts) ?: bestOfUnresponsive(hosts)
+    }
+
+    /** Compares a few engines of this place, and a few more distant ones if those are loaded. */
+    private suspend fun bestOfSample(hosts: List<EngineHost>): EngineHost? {
+        val byDistance = hosts.groupBy(::distance)
         var best: EngineLoad<EngineHost>? = null
         for (distance in Distance.entries) {
-            val hosts = byDistance[distance] ?: continue
+            val sameDistance = byDistance[distance] ?: continue
             if (best != null && EnginePlacement.isGoodEnough(best, distance)) break
-            val sample = engineHosts.refresh(hosts.shuffled(random).take(EnginePlacement.SAMPLE_SIZE))
+            val sample = engineHosts.refresh(sameDistance.shuffled(random).take(EnginePlacement.SAMPLE_SIZE))
             best = EnginePlacement.best(listOfNotNull(best) + sample.mapNotNull(::load))
         }
         return best?.engine
     }
 
+    /** Asks a few engines that have not responded lately, since none of [hosts] is known to accept turns. */
+    private suspend fun bestOfUnresponsive(hosts: List<EngineHost>): EngineHost? {
+        val sample = hosts.shuffled(random).take(EnginePlacement.UNRESPONSIVE_SAMPLE_SIZE)
+        return EnginePlacement.best(engineHosts.refresh(sample, retriesUnresponsive = true).mapNotNull(::load))?.engine
+    }
+
     private fun acceptsTurns(
         host: EngineHost,
         service: ServiceName,
--- a/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
@@ -47,8 +47,8 @@
     private val routes = RoutesInForce(keyValue)
     private val upstreams = UpstreamDirectory(keyValue, time)
 
-    private val engineHosts = EngineDirectory(upstreams, routes, exchange, settings.firstPort, time)
     private val background = Background()
+    private val engineHosts = EngineDirectory(upstreams, routes, exchange, settings.firstPort, background, time)
     private val homeList = HomeList(keyValue)
     private val homes = ProgramHomes(settings.place.name, engineHosts, homeList, exchange, background, time)
     private val plainCalls = PlainCalls(upstreams, UpstreamLoads(settings.place.name, time), callUpstream)
