Listen for callers before the rest of a gateway starts, and hold early requests

A request that came before the configuration was read was refused at once. Change: CallerServer.listen binds the port as soon as the settings are read; Jetty accepts from that socket later. A request that arrives before the configuration and the list of upstreams are known waits for them, up to a second or half of its time.

--- a/forwarding/src/main/kotlin/sycamore/forwarding/CallerServer.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/CallerServer.kt
@@ -23,6 +23,9 @@
 import sycamore.daemon.Program
 import sycamore.model.Address
 import sycamore.routing.CallerLimits
+import java.net.InetSocketAddress
+import java.net.StandardSocketOptions
+import java.nio.channels.ServerSocketChannel
 import kotlin.coroutines.CoroutineContext
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -32,11 +35,12 @@
 /**
  * An HTTP/1.1 server that serves each request in a coroutine.
  *
+ * @param listener the socket on which callers connect; see [listen].
  * @param limits returns the current limits of callers. The header limit is applied at the start of the server, the idle
  *   timeout at each request.
  */
 class CallerServer(
-    private val address: Address,
+    private val listener: ServerSocketChannel,
     private val limits: () -> CallerLimits,
     context: CoroutineContext,
     private val serve: ServeCaller,
@@ -51,17 +55,15 @@
     @Volatile
     var isDraining = false
 
-    /** Starts to listen. */
+    /** Starts to accept connections. */
     fun start(): CallerServer =
         apply {
-            connector.host = address.ip
-            connector.port = address.port
-            connector.acceptQueueSize = MAX_PENDING_CONNECTIONS
+            connector.open(listener)
             connector.idleTimeout = limits().idleTimeout.inWholeMilliseconds
             http.requestHeaderSize = limits().headerBytes
             server.addConnector(connector)
             server.handler = CoroutineHandler()
-            Program.listeningOn(address) { server.start() }
+            server.start()
         }
 
     /**
@@ -115,16 +117,28 @@
         }
     }
 
-    private companion object {
-        val log = KotlinLogging.logger {}
+    companion object {
+        private val log = KotlinLogging.logger {}
 
-        val DRAIN_CHECK_INTERVAL = 20.milliseconds
+        private val DRAIN_CHECK_INTERVAL = 20.milliseconds
 
         /** Threads for network reads and writes. Requests that wait occupy no thread. */
-        const val MAX_THREADS = 16
-        const val MIN_THREADS = 4
+        private const val MAX_THREADS = 16
+        private const val MIN_THREADS = 4
 
         /** The length of the accept queue. Many callers connect at once after an outage. */
-        const val MAX_PENDING_CONNECTIONS = 1024
+        private const val MAX_PENDING_CONNECTIONS = 1024
+
+        /**
+         * Listens on [address]. Callers can connect from then on, and their requests wait until a server starts.
+         * Otherwise they would be refused while the daemon starts, and give up after a few attempts.
+         */
+        fun listen(address: Address): ServerSocketChannel =
+            Program.listeningOn(address) {
+                ServerSocketChannel
+                    .open()
+                    .setOption(StandardSocketOptions.SO_REUSEADDR, true)
+                    .bind(InetSocketAddress(address.ip, address.port), MAX_PENDING_CONNECTIONS)
+            }
     }
 }
--- a/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
@@ -5,8 +5,10 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.daemon.Background
 import sycamore.daemon.homes.HomeList
 import sycamore.daemon.log.event
@@ -79,7 +81,7 @@
     suspend fun serve(caller: CallerExchange) {
         val arrivedAt = time.markNow()
         val head = CallHeaders.decode(caller.headers)
-        val table = routes.table.value
+        val table = awaitRoutes(head)
         if (table == null) {
             logRefusal(head, GatewayError.NOT_RUN, "no configuration is known yet")
             return caller.respond(GatewayError.NOT_RUN, "no configuration is known yet", head.id, STARTUP_RETRY_AFTER)
@@ -112,6 +114,20 @@
         }
     }
 
+    /**
+     * Returns the current routes. While this daemon starts, it waits for them and for the list of upstreams; returns null
+     * if they could not be read in time.
+     */
+    private suspend fun awaitRoutes(head: CallerHead): RouteTable? {
+        if (!isReady) {
+            withTimeoutOrNull(minOf(MAX_STARTUP_WAIT, (head.timeLeft ?: Duration.INFINITE) / 2)) {
+                routes.table.first { it != null }
+                upstreams.awaitRead()
+            }
+        }
+        return routes.table.value
+    }
+
     /** Counts and logs a request that is refused before a route accepted it. */
     private fun logRefusal(
         head: CallerHead,
@@ -222,6 +238,12 @@
                 idleTimeout = 15.seconds,
             )
 
+        /**
+         * The longest time for which a request waits until a starting daemon has read the configuration. It takes longer
+         * only while the key-value service is unavailable.
+         */
+        val MAX_STARTUP_WAIT = 1.seconds
+
         /** The time in which a starting daemon reads the configuration. */
         val STARTUP_RETRY_AFTER = 300.milliseconds
     }
--- a/gateway/src/main/kotlin/sycamore/gateway/Main.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/Main.kt
@@ -22,12 +22,13 @@
     val readinessAddress =
         settings.readinessAddress ?: Program.fail(Program.EXIT_MISUSE, "expected an address for readiness, found none")
     Program.runDaemon("sycamore-gateway") {
+        val listener = CallerServer.listen(callers)
         val runtime = PlatformDaemon(settings)
         val registry = runtime.metrics.registry
         val gateway = Gateway(settings, runtime.keyValue, runtime.links::exchange, UpstreamClient()::exchange, registry)
         launch { gateway.run() }
         launch { runtime.serveMetrics(metricsPort) }
-        val server = CallerServer(callers, gateway::limits, Dispatchers.Default, gateway::serve).start()
+        val server = CallerServer(listener, gateway::limits, Dispatchers.Default, gateway::serve).start()
         var isLeaving = false
         Http.serve(
             readinessAddress,
--- a/gateway/src/test/kotlin/sycamore/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/sycamore/gateway/GatewayTest.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.async
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
@@ -80,6 +81,16 @@
             assertNotNull(response.header("Retry-After"))
         }
 
+    /** After a power failure all callers connect again while the gateways start. A refusal uses up one of few attempts. */
+    @Test
+    fun `a call that arrives while the gateway starts is served once the configuration is read`() =
+        gateway(isConfigured = false) {
+            val response = scope.async { send("/calls/1", "a") }
+            delay(100.milliseconds)
+            configure(isIdempotent = true)
+            assertEquals(200, response.await().status.code)
+        }
+
     @Test
     fun `a path without a route is answered with 404`() =
         gateway { assertEquals(404, send("/nowhere", "a").status.code) }
@@ -194,10 +205,7 @@
         isIdempotent: Boolean = true,
         test: suspend () -> Unit,
     ) = runBlocking {
-        if (isConfigured) {
-            val document = SampleDocuments.configuration(HOST, "/turns/", "engines", "/calls/", "plain", isIdempotent)
-            store.put(StoreKeys.CONFIGURATION, document, Revision.ABSENT)
-        }
+        if (isConfigured) configure(isIdempotent)
         repeat(2) {
             val entry = SampleDocuments.upstreamEntry("plain", Address("10.0.0.$it", 80), "here")
             store.put(StoreKeys.UPSTREAMS + "u$it", entry, Revision.ABSENT)
@@ -211,11 +219,17 @@
                 SimpleMeterRegistry(),
             )
         scope.launch { gateway.run() }
-        server = CallerServer(callers, gateway::limits, Dispatchers.Default, gateway::serve).start()
+        server =
+            CallerServer(CallerServer.listen(callers), gateway::limits, Dispatchers.Default, gateway::serve).start()
         while (isConfigured && !gateway.isReady) delay(10.milliseconds)
         test()
     }
 
+    private suspend fun configure(isIdempotent: Boolean) {
+        val document = SampleDocuments.configuration(HOST, "/turns/", "engines", "/calls/", "plain", isIdempotent)
+        store.put(StoreKeys.CONFIGURATION, document, Revision.ABSENT)
+    }
+
     private fun send(
         path: String,
         id: String,
--- a/rehearsal/src/main/kotlin/sycamore/rehearsal/Rehearsal.kt
+++ b/rehearsal/src/main/kotlin/sycamore/rehearsal/Rehearsal.kt
@@ -157,7 +157,7 @@
             )
         scope.launch { gateway.run() }
         scope.launch { runtime.serveMetrics(metrics.port, startDelay = Duration.ZERO) }
-        CallerServer(callers, gateway::limits, Dispatchers.Default, gateway::serve).start()
+        CallerServer(CallerServer.listen(callers), gateway::limits, Dispatchers.Default, gateway::serve).start()
     }
 
     private suspend fun sendTurnsAndCalls(turns: IntRange): RehearsalResult {
