Adopt the records of a lost home in one step, and commit them with the next regular segment

Cause: after a loss of power each home reads about 2,000 records of its former home while turns wait. Each record was appended by itself, which woke all readers of the log, and all were committed at once, which encoded and compressed them in that second. Change: one append for all records; the commit waits for the next segment, up to 2 s. A successor would read both logs.

--- a/homes/src/main/kotlin/sycamore/homes/HomeJournal.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeJournal.kt
@@ -23,7 +23,6 @@
 import sycamore.turns.Retainer
 import sycamore.turns.TurnRecord
 import sycamore.turns.TurnRecords
-import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
 import kotlin.time.ComparableTimeMark
@@ -74,7 +73,6 @@
     private val wake = Channel<Unit>(Channel.CONFLATED)
     private val appended = MutableStateFlow(0L)
     private val lastCommitted = MutableStateFlow(0L)
-    private val flushes = AtomicInteger()
     private var pendingBytes = 0L
     private var sequence = 0L
     private var formerRetainers: List<Retainer> = emptyList()
@@ -108,27 +106,31 @@
         }
 
     /** Appends [record] and returns its number. */
-    fun append(record: TurnRecord): Long = append(TurnRecords.encode(record), isCommittedElsewhere = false)
+    fun append(record: TurnRecord): Long = append(listOf(TurnRecords.encode(record)), isCommittedElsewhere = false)
 
     /**
-     * Appends a record of a home that was taken over. Retainers don't have to keep it, since the log of that home is
-     * deleted only after this log has committed the record.
+     * Appends [records] of a home that was taken over. Retainers don't have to keep them, since the log of that home is
+     * deleted only after this log has committed them.
      */
-    fun appendAdopted(bytes: ByteArray) {
-        append(bytes, isCommittedElsewhere = true)
+    fun appendAdopted(records: List<ByteArray>) {
+        append(records, isCommittedElsewhere = true)
     }
 
     private fun append(
-        bytes: ByteArray,
+        records: List<ByteArray>,
         isCommittedElsewhere: Boolean,
     ): Long {
         requireNotEnded()
         return lock.withLock {
-            val number = appended.value + 1
-            pending.addLast(Pending(LogRecord(number, bytes), time.markNow(), isCommittedElsewhere))
-            if (!isCommittedElsewhere) pendingBytes += bytes.size
+            val wasEmpty = pending.isEmpty()
+            var number = appended.value
+            val now = time.markNow()
+            for (bytes in records) {
+                pending.addLast(Pending(LogRecord(++number, bytes), now, isCommittedElsewhere))
+                if (!isCommittedElsewhere) pendingBytes += bytes.size
+            }
             appended.value = number
-            if (pendingBytes >= COMMIT_THRESHOLD_BYTES || pending.size == 1) wake.trySend(Unit)
+            if (wasEmpty || pendingBytes >= COMMIT_THRESHOLD_BYTES) wake.trySend(Unit)
             number
         }
     }
@@ -184,16 +186,10 @@
         }
     }
 
-    /** Commits all records that have been appended so far, without waiting for more. */
-    suspend fun flush() {
+    /** Waits until all records that have been appended so far are committed, or the home has been taken over. */
+    suspend fun awaitCommitted() {
         val target = appended.value
-        flushes.incrementAndGet()
-        wake.trySend(Unit)
-        try {
-            committedNumber.first { it >= target || ended.isCompleted }
-        } finally {
-            flushes.decrementAndGet()
-        }
+        committedNumber.first { it >= target || ended.isCompleted }
     }
 
     private fun timeUntilCommit(): Duration =
@@ -208,7 +204,7 @@
             }
         }
 
-    private fun isCommitUrgent(): Boolean = isUrgent || flushes.get() > 0 || pendingBytes >= COMMIT_THRESHOLD_BYTES
+    private fun isCommitUrgent(): Boolean = isUrgent || pendingBytes >= COMMIT_THRESHOLD_BYTES
 
     private fun nextSegment(): LogSegment {
         val retainers = chooseRetainers(namedRetainers.value)
@@ -290,7 +286,7 @@
      * Waits before the next attempt. The delay is short if turns wait for the commit. Otherwise it backs off, and the
      * commit may happen up to a second after the service is available again.
      */
-    private suspend fun delayRetry() = delay(if (isUrgent || flushes.get() > 0) URGENT_RETRY_DELAY else backoff.next())
+    private suspend fun delayRetry() = delay(if (isUrgent) URGENT_RETRY_DELAY else backoff.next())
 
     /** Returns whether [item] contains [segment]. If not, it is the seal of a successor, and the journal ends. */
     private fun isOwn(
--- a/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
@@ -259,12 +259,15 @@
     ): EndedHomeRecords? =
         exchange.ask(retainer.address, EndHome(retainer.id, lost), RETAINER_TIMEOUT) as? EndedHomeRecords
 
-    /** Deletes the log of [lost] and the records that retainers keep of it, once [home] has committed its programs. */
+    /**
+     * Deletes the log of [lost] and the records that retainers keep of it, once [home] has committed its programs. The
+     * commit is not hurried: turns wait for this home now, and a successor of it would read both logs.
+     */
     private suspend fun deleteMerged(
         lost: SealedLog,
         home: TurnHome,
     ) {
-        home.journal.flush()
+        home.journal.awaitCommitted()
         if (home.journal.ended.isCompleted) return
         markMerged(lost.home, home)
         logSealer.deleteSegments(lost)
--- a/homes/src/main/kotlin/sycamore/homes/TurnHome.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnHome.kt
@@ -145,7 +145,7 @@
                 .map { TurnBroken(it.program, it.turn, it.reserved) }
         (records + broken).forEach(table::apply)
         registrations.adopt(records)
-        log.forEach { journal.appendAdopted(it.bytes) }
+        journal.appendAdopted(log.map { it.bytes })
         broken.forEach(journal::append)
         val completeTurns = records.count { it is TurnFinished }
         logger.event(
--- a/homes/src/test/kotlin/sycamore/homes/HomeJournalTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeJournalTest.kt
@@ -29,7 +29,7 @@
             backgroundScope.launch { journal.run() }
             delay(1.seconds)
             store.setFaults { it.copy(down = true) }
-            journal.appendAdopted(ByteArray(100))
+            journal.appendAdopted(listOf(ByteArray(100)))
             val callsBefore = countingClient.counts.total
             delay(22.seconds)
             val calls = countingClient.counts.total - callsBefore
