Bound the read of a program's mark to 300 ms

Change: after 300 ms the program counts as one that may be marked, as for a store that refuses the call. SpentProgramsTest has a case, in virtual time.

--- a/homes/src/main/kotlin/sycamore/homes/SpentPrograms.kt
+++ b/homes/src/main/kotlin/sycamore/homes/SpentPrograms.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.routing.ProgramName
 import sycamore.services.Backoff
 import sycamore.services.KeyValue
@@ -12,6 +13,7 @@
 import sycamore.services.WriteResult
 import sycamore.turns.SpentKeys
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 
 /**
@@ -63,14 +65,17 @@
         return keys.putEmpty(batch.map(SpentKeys::key), MARK_TTL) is WriteResult.Applied
     }
 
-    /** Whether [program] may be marked: either it is, or the key-value service cannot be read now. */
+    /** Whether [program] may be marked: either it is, or the key-value service does not answer within [READ_TIMEOUT]. */
     suspend fun mayBeMarked(program: ProgramName): Boolean {
-        val read = keys.get(SpentKeys.key(program))
+        val read = withTimeoutOrNull(READ_TIMEOUT) { keys.get(SpentKeys.key(program)) }
         return read !is ReadResult.Found || read.value != null
     }
 
     private companion object {
         /** Longer than any route keeps a turn. */
         val MARK_TTL = 10.minutes
+
+        /** A slow service answers within this time. The caller of a turn waits meanwhile, and leaves after two seconds. */
+        val READ_TIMEOUT = 300.milliseconds
     }
 }
--- a/homes/src/test/kotlin/sycamore/homes/SpentProgramsTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/SpentProgramsTest.kt
@@ -11,6 +11,7 @@
 import sycamore.standins.KeyValueStore
 import kotlin.test.Test
 import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 class SpentProgramsTest {
@@ -34,4 +35,19 @@
             assertTrue(calls <= 30, "$calls calls for 100 programs in an outage of 10 seconds")
             assertTrue(programs.all { spent.mayBeMarked(it) })
         }
+
+    /**
+     * Guards against turns that wait for a silent store until their callers leave: reading a mark took as long as the
+     * store's own time limit, two seconds.
+     */
+    @Test
+    fun `a store that does not answer delays the decision on a turn by a few hundred milliseconds`() =
+        runTest {
+            val store = FaultyKeyValue(KeyValueStore(testTimeSource), testTimeSource)
+            val spent = SpentPrograms(store, backgroundScope)
+            store.setFaults { it.copy(delay = 10.seconds) }
+            val began = testTimeSource.markNow()
+            assertTrue(spent.mayBeMarked(ProgramName("program")), "an unread mark counts as one")
+            assertTrue(began.elapsedNow() < 500.milliseconds, "the decision took ${began.elapsedNow()}")
+        }
 }
