Carry programs over an outage of their directory

Cause: when the owner of a partition is lost while the store is away, its new programs are refused until the store is back. Each refusal asked for a retry in 300 ms, so that all six attempts fell into 2.5 s. A program that was refused because the marks could not be read counted as assigned provisionally and stayed refused after the store's return. After a loss of power turns were refused after 400 ms although the directory is complete within a second. Change, three parts: OutageRetry lets the retry time grow with the outage, up to 0.3 of the time that the caller has left; only a turn that runs makes an assignment provisional; a turn waits up to 800 ms for a directory that has been silent for less.

--- a/homes/src/main/kotlin/sycamore/homes/ProgramAssignments.kt
+++ b/homes/src/main/kotlin/sycamore/homes/ProgramAssignments.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.daemon.log.event
+import sycamore.decisions.programs.ProgramPartitions
 import sycamore.links.CountTokens
 import sycamore.links.Done
 import sycamore.links.Exchange
@@ -18,6 +19,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeMark
 import kotlin.time.TimeSource
 
 // Log lines carry this logger name, which is independent of the class name.
@@ -38,9 +40,14 @@
         val home: HomeEndpoint,
     ) : ProgramAssignment
 
-    /** The home of the program cannot be determined now. */
+    /**
+     * The home of the program cannot be determined now.
+     *
+     * @property outage the time for which the directory has not answered.
+     */
     data class Unresolved(
         val reason: String,
+        val outage: Duration,
     ) : ProgramAssignment
 }
 
@@ -73,12 +80,15 @@
     /** For each program with another home: that home, once it has counted all turns that the program had here. */
     private val countedAt = ConcurrentHashMap<ProgramName, HomeId>()
 
+    /** Since when the owner of each partition has not answered. */
+    private val unansweredSince = ConcurrentHashMap<Int, TimeMark>()
+
     /** Determines which home runs the next turn of [program]. */
     suspend fun resolve(program: ProgramName): ProgramAssignment {
         if (registrations.contains(program)) return ProgramAssignment.Here(isRegistered = true)
         if (program in provisional) return unresolved(program)
         val answer =
-            withTimeoutOrNull(REGISTRATION_TIMEOUT) { register(program, DEFINITE_ANSWER_TIMEOUT) }
+            withTimeoutOrNull(registrationTimeout(program)) { register(program, DEFINITE_ANSWER_TIMEOUT) }
                 ?: return unresolved(program)
         val home = answer.home!!
         return when {
@@ -91,14 +101,28 @@
     }
 
     private fun unresolved(program: ProgramName) =
-        ProgramAssignment.Unresolved("it is not known yet where $program lives")
+        ProgramAssignment.Unresolved("it is not known yet where $program lives", outage(program))
+
+    /** The time for which the directory of [program]'s partition has not answered. */
+    private fun outage(program: ProgramName): Duration =
+        unansweredSince[ProgramPartitions.partitionOf(program.value)]?.elapsedNow() ?: Duration.ZERO
+
+    private fun registrationTimeout(program: ProgramName): Duration =
+        if (outage(program) < STARTUP_TIME) STARTUP_TIME else REGISTRATION_TIMEOUT
 
     private suspend fun assignProvisionally(program: ProgramName): ProgramAssignment {
         if (!provisional.add(program)) return unresolved(program)
+        var isGranted = false
+        try {
+            isGranted = !spent.mayBeMarked(program)
+        } finally {
+            // A program that got no turn may get one as soon as the marks can be read.
+            if (!isGranted) provisional -= program
+        }
+        log.event("program-provisional", "program" to program, "home" to self.home, "may_be_spent" to !isGranted)
+        if (!isGranted) return unresolved(program)
         background { registerProvisional(program) }
-        val mayBeSpent = spent.mayBeMarked(program)
-        log.event("program-provisional", "program" to program, "home" to self.home, "may_be_spent" to mayBeSpent)
-        return if (mayBeSpent) unresolved(program) else ProgramAssignment.Here(isRegistered = false)
+        return ProgramAssignment.Here(isRegistered = false)
     }
 
     /** Registers a program that is provisionally assigned to this home, however long that takes. */
@@ -150,8 +174,14 @@
         val message = RegisterProgram(program, self)
         if (owner.home == self.home) return directory.register(message) as? ProgramLocation
         val reply = exchange.ask(owner.address, message, REQUEST_TIMEOUT)
-        if (reply == null) onUnresponsive(owner)
-        return if (reply == null) requestFromDeputy(owner, message) else reply as? ProgramLocation
+        val partition = ProgramPartitions.partitionOf(program.value)
+        if (reply != null) {
+            unansweredSince.remove(partition)
+            return reply as? ProgramLocation
+        }
+        unansweredSince.putIfAbsent(partition, time.markNow())
+        onUnresponsive(owner)
+        return requestFromDeputy(owner, message)
     }
 
     /**
@@ -196,6 +226,12 @@
          */
         val REGISTRATION_TIMEOUT = 400.milliseconds
 
+        /**
+         * Time in which homes that start together, as after a power failure, read their logs and collect the directory.
+         * An owner that has not answered for longer is likely to be lost.
+         */
+        val STARTUP_TIME = 800.milliseconds
+
         /**
          * Time before a tentative answer is accepted. A home that has just started or taken over another one collects
          * the programs of its partitions in about this time.
--- a/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.flow.flow
 import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.daemon.log.event
+import sycamore.decisions.turns.OutageRetry
 import sycamore.links.Exchange
 import sycamore.links.GetPrompt
 import sycamore.links.HomeEndpoint
@@ -55,7 +56,7 @@
                         call,
                         TurnRefusal.NOT_NOW,
                         place.reason,
-                        retryAfter = RETRY_AFTER,
+                        retryAfter = OutageRetry.retryAfter(place.outage, call.timeLeft),
                     )
                 is ProgramAssignment.Elsewhere -> {
                     val detail = "the program is served by ${place.home.home}"
--- a/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
@@ -397,6 +397,25 @@
             assertTrue(outcomes.all { it.first() == "whole" }, "$outcomes")
         }
 
+    /**
+     * Guards against new programs that stay refused after an outage of the store in which the owner of their directory was lost: a
+     * program counted as assigned provisionally although it had got no turn.
+     */
+    @Test
+    fun `a program that is refused while the store is away gets a turn once the store answers`() =
+        homeTest { fixture ->
+            fixture.startReady(1)
+            fixture.startReady(2)
+            fixture.unreachable += address(1)
+            fixture.keys.setFaults { it.copy(down = true) }
+            val during = (1..20).map { fixture.sendTurn(2, "a$it", program = "q$it", budget = 100).outcome() }
+            assertTrue("NOT_NOW" in during, "$during")
+            fixture.keys.setFaults { it.copy(down = false) }
+            val refused = (1..20).filter { during[it - 1] == "NOT_NOW" }
+            val after = refused.map { fixture.sendTurn(2, "b$it", program = "q$it", budget = 100).outcome() }
+            assertTrue(after.all { it == "whole" }, "$after")
+        }
+
     /**
      * Guards against an exceeded budget: a program that had spent its budget returned after a power failure, and homes that had not
      * yet received its state gave it its budget again.
