Count a takeover from its claim, not from the read before it

Cause: homes that had asked the silent store about a lost home counted as taking it over until their calls timed out, up to 2 s after they were sent. Change: the entry is read before the takeover counts; the claim itself is a compare-and-set on what was read, as before. HomeDaemonTest has a case.

--- a/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
@@ -62,7 +62,11 @@
     /** The successors of the homes whose takeover by this daemon is complete. */
     private val completed = ConcurrentHashMap<HomeId, HomeEndpoint>()
 
-    /** The number of homes that have been claimed, or are about to be, and whose programs are not adopted yet. */
+    /**
+     * The number of homes that have been claimed, or are being claimed, and whose programs are not adopted yet. A home
+     * whose entry is only being read does not count: while the key-value service does not answer, that may take seconds,
+     * and no directory would be complete meanwhile.
+     */
     private val claimCount = AtomicInteger()
 
     /** Whether there may be former homes of this host that have not been taken over. */
@@ -123,14 +127,16 @@
         // home in the meantime.
         if (!request.isVoluntary && hasPending) return Declined("${home.id} is taking over another home", RETRY_DELAY)
         if (!request.isVoluntary && isServing(lost)) return Declined("${lost.home} is alive", RETRY_DELAY)
+        val read = keys.get(HomeKeys.key(lost.home)) as? ReadResult.Found ?: return Declined(NO_ANSWER, RETRY_DELAY)
+        val former = read.value?.successorEntry()
+        if (former != null && former.successor != home.id) return takenOver(former)
         if (claimCount.incrementAndGet() > 1 && !request.isVoluntary) {
             claimCount.decrementAndGet()
             return Declined("${home.id} is taking over another home", RETRY_DELAY)
         }
         try {
-            val entry = claim(lost, home) ?: return Declined("the key-value service does not answer", RETRY_DELAY)
-            val successor = entry.successor!!
-            if (successor != home.id) return HomeTakenOver(lost.home, HomeEndpoint(successor, entry.successorAddress!!))
+            val entry = former ?: claim(lost, home, read.value) ?: return Declined(NO_ANSWER, RETRY_DELAY)
+            if (entry.successor != home.id) return takenOver(entry)
             recoverWithRetries(lost, home)
         } finally {
             claimCount.decrementAndGet()
@@ -159,18 +165,19 @@
         return false
     }
 
+    private fun takenOver(entry: HomeEntry): Message =
+        HomeTakenOver(entry.home, HomeEndpoint(entry.successor!!, entry.successorAddress!!))
+
     /**
-     * Makes [home] the successor of [lost] unless it has one. Returns the entry that names the successor, or null if
-     * the claim was not written or its outcome is unknown.
+     * Makes [home] the successor of [lost] unless it has got one since its entry [item] was read. Returns the entry that
+     * names the successor, or null if the claim was not written or its outcome is unknown.
      */
     private suspend fun claim(
         lost: HomeEndpoint,
         home: TurnHome,
+        item: Item?,
     ): HomeEntry? {
         val key = HomeKeys.key(lost.home)
-        val item = (keys.get(key) as? ReadResult.Found ?: return null).value
-        val entry = item?.value?.let(HomeKeys::decode)
-        if (entry?.successor != null) return entry
         val claim = HomeEntry(lost.home, lost.address, home.id, home.address)
         return when (val write = keys.put(key, HomeKeys.encode(claim), item?.version ?: Revision.ABSENT)) {
             is WriteResult.Applied -> claim.also { log.info { "home ${home.id} has claimed lost home ${lost.home}" } }
@@ -293,6 +300,8 @@
     }
 
     private companion object {
+        const val NO_ANSWER = "the key-value service does not answer"
+
         /** Callers of turns wait for 3 s. A home that does not respond for about half of that is taken over. */
         val LIVENESS_TIMEOUT = 1200.milliseconds
         val LIVENESS_RETRY_DELAY = 100.milliseconds
--- a/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
@@ -265,6 +265,23 @@
             assertIs<Declined>(fixture.takeOver(starting, by = 2))
         }
 
+    /**
+     * Guards against a directory that stays incomplete after an outage of the store: homes that had asked the silent store about a
+     * lost home counted as taking it over until their calls timed out, seconds after the store's return.
+     */
+    @Test
+    fun `a home that waits for the store before a takeover still answers for all its programs`() =
+        homeTest { fixture ->
+            fixture.startReady(1)
+            fixture.startReady(2)
+            val lost = fixture.homeAt(1)
+            fixture.kill(address(1))
+            fixture.keys.setFaults { it.copy(delay = 5.seconds) }
+            backgroundScope.launch { fixture.takeOver(lost, by = 2) }
+            delay(3.seconds)
+            assertTrue(fixture.findTurn(2, "t").isComplete)
+        }
+
     @Test
     fun `a home that was taken over while it was unreachable completes no turn`() =
         homeTest { fixture ->
