--- a/homes/src/main/kotlin/sycamore/homes/ProgramAssignments.kt
+++ b/homes/src/main/kotlin/sycamore/homes/ProgramAssignments.kt
@@ -1,6 +1,7 @@
 package sycamore.homes
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.daemon.log.event
@@ -73,9 +74,10 @@
     private val onUnresponsive: (HomeEndpoint) -> Unit,
 ) {
     /**
-     * Programs that are assigned to this home until their registration is confirmed. They get no further turn before.
+     * Programs that are assigned to this home until their registration is confirmed, which completes the value. They get
+     * no further turn before.
      */
-    private val provisional = ConcurrentHashMap.newKeySet<ProgramName>()
+    private val provisional = ConcurrentHashMap<ProgramName, CompletableDeferred<Unit>>()
 
     /** For each program with another home: that home, once it has counted all turns that the program had here. */
     private val countedAt = ConcurrentHashMap<ProgramName, HomeId>()
@@ -83,10 +85,15 @@
     /** Since when the owner of each partition has not answered. */
     private val unansweredSince = ConcurrentHashMap<Int, TimeMark>()
 
-    /** Determines which home runs the next turn of [program]. */
-    suspend fun resolve(program: ProgramName): ProgramAssignment {
+    /** Determines which home runs the next turn of [program], within [timeLeft]. */
+    suspend fun resolve(
+        program: ProgramName,
+        timeLeft: Duration = Duration.INFINITE,
+    ): ProgramAssignment = withTimeoutOrNull(timeLeft) { findAssignment(program) } ?: unresolved(program)
+
+    private suspend fun findAssignment(program: ProgramName): ProgramAssignment {
+        if (!awaitConfirmation(program)) return unresolved(program)
         if (registrations.contains(program)) return ProgramAssignment.Here(isRegistered = true)
-        if (program in provisional) return unresolved(program)
         val answer =
             withTimeoutOrNull(registrationTimeout(program)) { register(program, DEFINITE_ANSWER_TIMEOUT) }
                 ?: return unresolved(program)
@@ -100,6 +107,16 @@
         }
     }
 
+    /**
+     * Waits until the home of [program] is confirmed if it is assigned to this home provisionally. Returns false if that
+     * takes too long, and at once if the directory has been silent for longer than homes take to start.
+     */
+    private suspend fun awaitConfirmation(program: ProgramName): Boolean {
+        val confirmation = provisional[program] ?: return true
+        if (outage(program) >= STARTUP_TIME) return false
+        return withTimeoutOrNull(STARTUP_TIME) { confirmation.await() } != null
+    }
+
     private fun unresolved(program: ProgramName) =
         ProgramAssignment.Unresolved("it is not known yet where $program lives", outage(program))
 
@@ -111,13 +128,13 @@
         if (outage(program) < STARTUP_TIME) STARTUP_TIME else REGISTRATION_TIMEOUT
 
     private suspend fun assignProvisionally(program: ProgramName): ProgramAssignment {
-        if (!provisional.add(program)) return unresolved(program)
+        if (provisional.putIfAbsent(program, CompletableDeferred()) != null) return unresolved(program)
         var isGranted = false
         try {
             isGranted = !spent.mayBeMarked(program)
         } finally {
             // A program that got no turn may get one as soon as the marks can be read.
-            if (!isGranted) provisional -= program
+            if (!isGranted) endProvisional(program)
         }
         log.event("program-provisional", "program" to program, "home" to self.home, "may_be_spent" to !isGranted)
         if (!isGranted) return unresolved(program)
@@ -133,7 +150,11 @@
             if (home.home == self.home || transferTokens(home, program)) break
             delay(COUNT_RETRY_DELAY)
         }
-        provisional -= program
+        endProvisional(program)
+    }
+
+    private fun endProvisional(program: ProgramName) {
+        provisional.remove(program)?.complete(Unit)
     }
 
     /**
@@ -215,7 +236,7 @@
 
     /** Removes [programs]. */
     fun forget(programs: Set<ProgramName>) {
-        provisional -= programs
+        programs.forEach(::endProvisional)
         countedAt -= programs
     }
 
--- a/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
@@ -49,7 +49,7 @@
     fun run(call: RunTurn): Flow<Message> =
         flow {
             if (!call.isRecorded) return@flow RunningTurn(call, null, call.input, this).run()
-            when (val place = home.assignments.resolve(call.program)) {
+            when (val place = home.assignments.resolve(call.program, call.timeLeft)) {
                 is ProgramAssignment.Here -> start(call, place.isRegistered)
                 is ProgramAssignment.Unresolved ->
                     refuse(
--- a/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
@@ -433,6 +433,27 @@
             assertTrue(after.all { it == "whole" }, "$after")
         }
 
+    /**
+     * Guards against second turns that are refused right after a power failure, although the directory is complete a few hundred
+     * milliseconds later: each refusal uses up one of the few attempts of a caller.
+     */
+    @Test
+    fun `the second turn of a program waits for a directory that is being collected`() =
+        homeTest { fixture ->
+            fixture.startReady(1)
+            fixture.startReady(2)
+            fixture.unreachable += address(1)
+            val first =
+                (1..20).filter {
+                    fixture.sendTurn(2, "a$it", program = "q$it", budget = 100).outcome() ==
+                        "whole"
+                }
+            val second = first.map { async { fixture.sendTurn(2, "b$it", program = "q$it", budget = 100).outcome() } }
+            delay(100.milliseconds)
+            fixture.unreachable -= address(1)
+            assertTrue(second.awaitAll().all { it == "whole" }, "${second.awaitAll()}")
+        }
+
     /**
      * Guards against an exceeded budget: a program that had spent its budget returned after a power failure, and homes that had not
      * yet received its state gave it its budget again.
