Queue before an engine: programs that can finish in time go before those that are late

Cause: in a burst all turns of a kind wait for the same time, so nearly all programs end late: the order was priority, continuation, arrival, and where the client keeps the history no turn is known to be a continuation. Change: X-Finish-Ms goes with the turn to the gate. Within a priority, programs that are not late yet come first, then those under way, then by the time at which they should be finished; a turn without such a time keeps its order of arrival.

--- a/decisions/src/test/kotlin/sycamore/decisions/turns/TurnQueueTest.kt
+++ b/decisions/src/test/kotlin/sycamore/decisions/turns/TurnQueueTest.kt
@@ -22,12 +22,12 @@
                 turn(3, isContinuation = true),
                 turn(4, isContinuation = true),
             )
-        val order = generateSequence(waiting) { left -> left - TurnQueue.next(left)!! }.takeWhile { it.isNotEmpty() }
-        assertEquals(listOf(3L, 4L, 2L, 1L), order.map { TurnQueue.next(it)!!.number }.toList())
+        val order = generateSequence(waiting) { left -> left - next(left)!! }.takeWhile { it.isNotEmpty() }
+        assertEquals(listOf(3L, 4L, 2L, 1L), order.map { next(it)!!.number }.toList())
     }
 
     @Test
-    fun `there is no next turn when none waits`() = assertNull(TurnQueue.next(emptyList()))
+    fun `there is no next turn when none waits`() = assertNull(next(emptyList()))
 
     /** In a burst of requests of one kind, turns waited until their deadline and were refused only then. */
     @Test
@@ -58,6 +58,8 @@
         assertEquals(emptyList(), TurnQueue.unservable(waiting, now = 5.seconds, pace))
     }
 
+    private fun next(waiting: List<WaitingTurn>) = TurnQueue.next(waiting, now = Duration.ZERO, pace)
+
     private fun turn(
         number: Long,
         priority: Int = 0,
--- a/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
@@ -216,6 +216,7 @@
                 path = call.target,
                 headers = call.forwarded.map { HeaderField(it.first, it.second) },
                 input = call.body,
+                finishIn = call.head.finishIn,
             )
         }
 
--- a/homes/src/main/kotlin/sycamore/homes/EngineGate.kt
+++ b/homes/src/main/kotlin/sycamore/homes/EngineGate.kt
@@ -18,12 +18,14 @@
  * @property timeLeft the time within which the caller expects the answer.
  * @property isContinuation whether the turn continues a previous turn of its program.
  * @property slots the number of turns that the engine processes at once.
+ * @property finishIn the time until the program should be finished; null if the caller named none.
  */
 internal data class GateTurn(
     val priority: Int,
     val timeLeft: Duration,
     val isContinuation: Boolean,
     val slots: Int,
+    val finishIn: Duration? = null,
 )
 
 /** The decision of a gate on a turn. */
@@ -121,6 +123,7 @@
                     priority = turn.priority,
                     deadline = now + turn.timeLeft,
                     isContinuation = turn.isContinuation,
+                    finish = turn.finishIn?.let { now + it },
                 )
             Waiter(waiting).also {
                 waiters[number] = it
@@ -143,7 +146,7 @@
 
     private fun dispatch() {
         while (running < slots) {
-            val next = TurnQueue.next(queuedTurns()) ?: return
+            val next = TurnQueue.next(queuedTurns(), now, EnginePace(turnTime, slots)) ?: return
             val waiter = waiters.remove(next.number) ?: return
             running++
             waiter.decision.complete(null)
--- a/homes/src/main/kotlin/sycamore/homes/PromptSender.kt
+++ b/homes/src/main/kotlin/sycamore/homes/PromptSender.kt
@@ -73,7 +73,7 @@
     ): Flow<Message> =
         flow {
             val arrived = time.markNow()
-            val turn = GateTurn(call.priority, call.timeLeft, call.previous != null, call.engineSlots)
+            val turn = GateTurn(call.priority, call.timeLeft, call.previous != null, call.engineSlots, call.finishIn)
             when (val decision = gate.awaitSlot(turn)) {
                 is SlotDecision.Refused -> emit(TurnRefused(TurnRefusal.NOT_NOW, decision.detail, decision.retryAfter))
                 is SlotDecision.Granted ->
--- a/links/src/main/kotlin/sycamore/links/TurnMessage.kt
+++ b/links/src/main/kotlin/sycamore/links/TurnMessage.kt
@@ -42,6 +42,7 @@
  * limit.
  * @property mostTokens the number of tokens that this turn may generate.
  * @property timeLeft the time until the caller's deadline or the time-out of the route.
+ * @property finishIn the time until the program should be finished; null if the caller named none.
  */
 @Serializable
 @SerialName("turn")
@@ -64,6 +65,7 @@
     val path: String,
     val headers: List<HeaderField>,
     val input: ByteArray,
+    val finishIn: Duration? = null,
 ) : Message
 
 /**
