Hold early requests only while a gateway starts

A gateway that starts while the store is away would have held each request for a second before it refused it. Requests now wait until 1.5 s after the start, and later ones are refused at once while the configuration is unknown.

--- a/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
@@ -45,6 +45,7 @@
     registry: MeterRegistry,
     private val time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
 ) {
+    private val startedAt = time.markNow()
     private val meters = CallMeters(registry)
     private val routes = RoutesInForce(keyValue)
     private val upstreams = UpstreamDirectory(keyValue, time)
@@ -115,12 +116,13 @@
     }
 
     /**
-     * Returns the current routes. While this daemon starts, it waits for them and for the list of upstreams; returns null
-     * if they could not be read in time.
+     * Returns the current routes. While this daemon starts, it waits until they and the list of upstreams were read.
+     * Returns null if the routes are still unknown after that.
      */
     private suspend fun awaitRoutes(head: CallerHead): RouteTable? {
         if (!isReady) {
-            withTimeoutOrNull(minOf(MAX_STARTUP_WAIT, (head.timeLeft ?: Duration.INFINITE) / 2)) {
+            val startupLeft = MAX_STARTUP_TIME - startedAt.elapsedNow()
+            withTimeoutOrNull(minOf(startupLeft, (head.timeLeft ?: Duration.INFINITE) / 2)) {
                 routes.table.first { it != null }
                 upstreams.awaitRead()
             }
@@ -239,10 +241,10 @@
             )
 
         /**
-         * The longest time for which a request waits until a starting daemon has read the configuration. It takes longer
-         * only while the key-value service is unavailable.
+         * The time after the start within which the configuration is read, unless the key-value service is unavailable.
+         * Requests that arrive later are refused at once while the configuration is unknown.
          */
-        val MAX_STARTUP_WAIT = 1.seconds
+        val MAX_STARTUP_TIME = 1500.milliseconds
 
         /** The time in which a starting daemon reads the configuration. */
         val STARTUP_RETRY_AFTER = 300.milliseconds
