Do not wait for the answer to a store call that was sent while the store was silent

Change: this read is bounded to 500 ms, twice the time of a slow store; the next request for the takeover reads again. HomeDaemonTest has a case.

--- a/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
@@ -127,7 +127,9 @@
         // home in the meantime.
         if (!request.isVoluntary && hasPending) return Declined("${home.id} is taking over another home", RETRY_DELAY)
         if (!request.isVoluntary && isServing(lost)) return Declined("${lost.home} is alive", RETRY_DELAY)
-        val read = keys.get(HomeKeys.key(lost.home)) as? ReadResult.Found ?: return Declined(NO_ANSWER, RETRY_DELAY)
+        val read =
+            withTimeoutOrNull(ENTRY_READ_TIMEOUT) { keys.get(HomeKeys.key(lost.home)) } as? ReadResult.Found
+                ?: return Declined(NO_ANSWER, RETRY_DELAY)
         val former = read.value?.successorEntry()
         if (former != null && former.successor != home.id) return takenOver(former)
         if (claimCount.incrementAndGet() > 1 && !request.isVoluntary) {
@@ -302,6 +304,12 @@
     private companion object {
         const val NO_ANSWER = "the key-value service does not answer"
 
+        /**
+         * A slow key-value service answers within this time. A call that was sent while the service was silent gets no
+         * answer after its return, so the next attempt should not wait for it.
+         */
+        val ENTRY_READ_TIMEOUT = 500.milliseconds
+
         /** Callers of turns wait for 3 s. A home that does not respond for about half of that is taken over. */
         val LIVENESS_TIMEOUT = 1200.milliseconds
         val LIVENESS_RETRY_DELAY = 100.milliseconds
--- a/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
@@ -282,6 +282,23 @@
             assertTrue(fixture.findTurn(2, "t").isComplete)
         }
 
+    /** Guards against a takeover that waits for the answer to a call which was sent while the store was silent. */
+    @Test
+    fun `a home that was lost while the store was silent is taken over soon after the store's return`() =
+        homeTest { fixture ->
+            fixture.startReady(1)
+            fixture.startReady(2)
+            val lost = fixture.homeAt(1)
+            fixture.kill(address(1))
+            fixture.keys.setFaults { it.copy(delay = 30.seconds) }
+            backgroundScope.launch {
+                delay(2.seconds)
+                fixture.keys.setFaults { it.copy(delay = 0.seconds) }
+            }
+            while (fixture.takeOver(lost, by = 2) !is HomeTakenOver) delay(100.milliseconds)
+            assertTrue(currentTime < 5_000, "the home was taken over at $currentTime ms")
+        }
+
     @Test
     fun `a home that was taken over while it was unreachable completes no turn`() =
         homeTest { fixture ->
