--- a/standins/src/test/kotlin/sycamore/standins/engine/EngineServerTest.kt
+++ b/standins/src/test/kotlin/sycamore/standins/engine/EngineServerTest.kt
@@ -10,6 +10,7 @@
 import kotlin.test.assertContains
 import kotlin.test.assertEquals
 import kotlin.test.assertNotEquals
+import kotlin.time.TestTimeSource
 
 /**
  * Guards against a simulated engine that hides faults of its clients: its answers have to show lost history, and
@@ -25,10 +26,11 @@
         id: String,
         vararg messages: String,
         extra: String = "",
+        at: EngineServer = server,
     ): Response {
         val list = messages.joinToString { """{"role":"user","content":"$it"}""" }
         val body = """{"model":"","stream":true$extra,"messages":[$list]}"""
-        return server.handler(
+        return at.handler(
             Request(Method.POST, EngineWire.CHAT)
                 .header(EngineWire.CALL_HEADER, id)
                 .header(EngineWire.PROGRAM_HEADER, "p")
@@ -63,14 +65,16 @@
         assertContains(body, """"finish_reason":"tool_calls"""")
     }
 
+    /** By the clock of the machine, the call ended before its cancellation on a machine that was busy. */
     @Test
-    fun `a cancelled call cannot be resumed and an unknown one is not found`() {
-        val delete = { id: String -> server.handler(Request(Method.DELETE, "${EngineWire.CALLS}/$id")).status }
-        assertEquals(Status.NOT_FOUND, delete("1"))
-        chat("1", "a")
-        assertEquals(Status.NO_CONTENT, delete("1"))
-        assertEquals(Status.GONE, server.handler(Request(Method.GET, "${EngineWire.CALLS}/1")).status)
-    }
+    fun `a cancelled call cannot be resumed and an unknown one is not found`() =
+        EngineServer(time = TestTimeSource()).use { paused ->
+            val delete = { id: String -> paused.handler(Request(Method.DELETE, "${EngineWire.CALLS}/$id")).status }
+            assertEquals(Status.NOT_FOUND, delete("1"))
+            chat("1", "a", at = paused)
+            assertEquals(Status.NO_CONTENT, delete("1"))
+            assertEquals(Status.GONE, paused.handler(Request(Method.GET, "${EngineWire.CALLS}/1")).status)
+        }
 
     @Test
     fun `an engine that is down refuses`() {
