--- a/homes/src/main/kotlin/sycamore/homes/ProgramRegistrations.kt
+++ b/homes/src/main/kotlin/sycamore/homes/ProgramRegistrations.kt
@@ -64,12 +64,7 @@
     fun recordRegistration(
         program: ProgramName,
         owner: HomeEndpoint,
-    ): Boolean =
-        lock.withLock {
-            val isOwner = ownerOf(ProgramPartitions.partitionOf(program.value)) == owner
-            if (isOwner) registered += program
-            isOwner
-        }
+    ): Boolean = addIfOwner(registered, program, owner)
 
     /**
      * Records that [program] gets a provisional turn here, by the answer of [owner] or its deputy. Returns false if
@@ -78,10 +73,17 @@
     fun recordProvisional(
         program: ProgramName,
         owner: HomeEndpoint,
+    ): Boolean = addIfOwner(provisional, program, owner)
+
+    /** Adds [program] to [programs] if [owner] is the owner of its partition. Returns whether it is. */
+    private fun addIfOwner(
+        programs: MutableSet<ProgramName>,
+        program: ProgramName,
+        owner: HomeEndpoint,
     ): Boolean =
         lock.withLock {
             val isOwner = ownerOf(ProgramPartitions.partitionOf(program.value)) == owner
-            if (isOwner) provisional += program
+            if (isOwner) programs += program
             isOwner
         }
 
