--- a/gateway/src/main/kotlin/sycamore/gateway/EngineDirectory.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/EngineDirectory.kt
@@ -148,7 +148,10 @@
         /** The age from which a load is ignored. */
         val MAX_AGE: Duration = 1500.milliseconds
 
-        /** The time for which an unresponsive daemon gets no further request while others accept turns. */
+        /**
+         * The time for which an unresponsive daemon gets no further request while others accept turns: about the duration
+         * of a restart.
+         */
         val UNRESPONSIVE_PAUSE: Duration = 1000.milliseconds
 
         /** The time for which an unresponsive daemon gets no further request while no other one accepts turns. */
