--- a/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
@@ -462,7 +462,10 @@
             fixture.startReady(1)
             fixture.startReady(2)
             fixture.unreachable += address(1)
-            val outcomes = (1..20).map { async { fixture.sendTurn(2, "a$it", program = "q$it", budget = 100).outcome() } }.awaitAll()
+            val outcomes =
+                (1..20)
+                    .map { async { fixture.sendTurn(2, "a$it", program = "q$it", budget = 100).outcome() } }
+                    .awaitAll()
             val first = (1..20).filter { outcomes[it - 1] == "whole" }
             val second = first.map { async { fixture.sendTurn(2, "b$it", program = "q$it", budget = 100).outcome() } }
             delay(100.milliseconds)
