Condense turns of a log when they are committed

Change: turns that started and ended within one segment, and whose texts no later turn needs, are committed as one record for each program. Retained records that are committed already are not adopted again.

--- a/homes/src/main/kotlin/sycamore/homes/HomeJournal.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeJournal.kt
@@ -17,12 +17,14 @@
 import sycamore.services.Revision
 import sycamore.services.WriteResult
 import sycamore.turns.HomeKeys
+import sycamore.turns.LogEntry
 import sycamore.turns.LogRecord
 import sycamore.turns.LogSegment
 import sycamore.turns.LogSegments
 import sycamore.turns.Retainer
 import sycamore.turns.TurnRecord
 import sycamore.turns.TurnRecords
+import sycamore.turns.condense
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
 import kotlin.time.ComparableTimeMark
@@ -63,10 +65,12 @@
      * @property isCommittedElsewhere whether the record is stored already, in the log of a home that was taken over.
      */
     private class Pending(
-        val record: LogRecord,
+        val entry: LogEntry,
         val since: ComparableTimeMark,
         val isCommittedElsewhere: Boolean,
-    )
+    ) {
+        val record: LogRecord get() = entry.record
+    }
 
     private val lock = ReentrantLock()
     private val pending = ArrayDeque<Pending>()
@@ -106,18 +110,20 @@
         }
 
     /** Appends [record] and returns its number. */
-    fun append(record: TurnRecord): Long = append(listOf(TurnRecords.encode(record)), isCommittedElsewhere = false)
+    fun append(record: TurnRecord): Long =
+        append(listOf(TurnRecords.encode(record)), record, isCommittedElsewhere = false)
 
     /**
      * Appends [records] of a home that was taken over. Retainers don't have to keep them, since the log of that home is
      * deleted only after this log has committed them.
      */
     fun appendAdopted(records: List<ByteArray>) {
-        append(records, isCommittedElsewhere = true)
+        append(records, content = null, isCommittedElsewhere = true)
     }
 
     private fun append(
         records: List<ByteArray>,
+        content: TurnRecord?,
         isCommittedElsewhere: Boolean,
     ): Long {
         requireNotEnded()
@@ -126,7 +132,7 @@
             var number = appended.value
             val now = time.markNow()
             for (bytes in records) {
-                pending.addLast(Pending(LogRecord(++number, bytes), now, isCommittedElsewhere))
+                pending.addLast(Pending(LogEntry(LogRecord(++number, bytes), content), now, isCommittedElsewhere))
                 if (!isCommittedElsewhere) pendingBytes += bytes.size
             }
             appended.value = number
@@ -209,30 +215,35 @@
     private fun nextSegment(): LogSegment {
         val retainers = chooseRetainers(namedRetainers.value)
         return lock.withLock {
-            val records = nextRecords()
-            LogSegment(home, "$home-${sequence + 1}", records, retainers, formerRetainersOf(retainers, records))
+            val next = nextEntries()
+            val formerRetainers = formerRetainersOf(retainers, isAll = next.size == pending.size)
+            LogSegment(home, "$home-${sequence + 1}", condense(next), retainers, formerRetainers)
         }
     }
 
-    /** Returns the retainers that were named before and may keep records which are not committed with [records]. */
+    /**
+     * Returns the retainers that were named before and may keep records which are not committed with the next segment.
+     *
+     * @param isAll whether the segment contains all records that are not committed.
+     */
     private fun formerRetainersOf(
         retainers: List<Retainer>,
-        records: List<LogRecord>,
+        isAll: Boolean,
     ): List<Retainer> =
         when {
             retainers != namedRetainers.value -> namedRetainers.value
-            records.size < pending.size -> formerRetainers
-            else -> emptyList()
+            isAll -> emptyList()
+            else -> formerRetainers
         }
 
-    private fun nextRecords(): List<LogRecord> {
+    private fun nextEntries(): List<LogEntry> {
         var bytes = 0L
         return pending
             .takeWhile {
                 val isFirst = bytes == 0L
                 bytes += it.record.bytes.size
                 isFirst || bytes <= MAX_SEGMENT_BYTES
-            }.map { it.record }
+            }.map { it.entry }
     }
 
     private suspend fun commit(segment: LogSegment) {
@@ -243,16 +254,21 @@
         opened.complete(Unit)
         lock.withLock {
             formerRetainers = segment.formerRetainers
-            repeat(segment.records.size) {
-                val done = pending.removeFirst()
-                if (!done.isCommittedElsewhere) pendingBytes -= done.record.bytes.size
-            }
+            removePending(segment.lastNumber)
         }
         if (segment.retainers != namedRetainers.value) {
             log.info { "retainers of home $home are now ${segment.retainers.map { it.host }}" }
         }
         namedRetainers.value = segment.retainers
-        segment.records.lastOrNull()?.let { lastCommitted.value = it.number }
+        lastCommitted.value = maxOf(lastCommitted.value, segment.lastNumber)
+    }
+
+    /** Removes the pending records up to [number], which are committed. */
+    private fun removePending(number: Long) {
+        while (pending.isNotEmpty() && pending.first().record.number <= number) {
+            val done = pending.removeFirst()
+            if (!done.isCommittedElsewhere) pendingBytes -= done.record.bytes.size
+        }
     }
 
     /** Writes [segment], with retries until it is stored. Returns false if this home has been taken over. */
--- a/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
@@ -254,9 +254,7 @@
         val read = startedAt.elapsedNow()
         val retained = logs.map { collect(it) ?: return postpone("too few retainers respond", it.home) }
         val collected = startedAt.elapsedNow()
-        logs.zip(retained).forEach { (written, kept) ->
-            home.adopt((written.records + kept).distinctBy { it.number })
-        }
+        logs.zip(retained).forEach { (committed, kept) -> home.adopt(committed.recordsWith(kept)) }
         log.event(
             "home-read",
             "homes" to claimed,
--- a/homes/src/main/kotlin/sycamore/homes/ProgramRegistrations.kt
+++ b/homes/src/main/kotlin/sycamore/homes/ProgramRegistrations.kt
@@ -9,9 +9,11 @@
 import sycamore.links.Message
 import sycamore.links.ServedPrograms
 import sycamore.routing.ProgramName
+import sycamore.turns.TurnEnd
 import sycamore.turns.TurnRecord
 import sycamore.turns.TurnStarted
 import sycamore.turns.TurnTable
+import sycamore.turns.TurnsCounted
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
 
@@ -89,10 +91,17 @@
 
     /** Adds the programs that a lost home had registered according to the [records] of its log. */
     fun adopt(records: List<TurnRecord>) {
-        val names = records.filterIsInstance<TurnStarted>().filter { it.isRegistered }.map { it.program }
+        val names = records.filter(::isOfRegistered).map { it.program }
         lock.withLock { registered += names }
     }
 
+    private fun isOfRegistered(record: TurnRecord): Boolean =
+        when (record) {
+            is TurnStarted -> record.isRegistered
+            is TurnsCounted -> record.isRegistered
+            is TurnEnd -> false
+        }
+
     /** Removes [programs]. */
     fun forget(programs: Set<ProgramName>) {
         lock.withLock {
--- a/homes/src/main/kotlin/sycamore/homes/SealedLog.kt
+++ b/homes/src/main/kotlin/sycamore/homes/SealedLog.kt
@@ -30,8 +30,12 @@
 ) {
     private val ownSegments = segments.filter { it.sealedBy == null }
 
-    /** The records that the home had committed. */
-    val records: List<LogRecord> get() = ownSegments.flatMap { it.records }
+    /** The records that the home had committed, and those of [retained], which retainers keep, that it had not. */
+    fun recordsWith(retained: List<LogRecord>): List<LogRecord> {
+        val committedNumber = ownSegments.maxOfOrNull { it.lastNumber } ?: 0
+        val uncommitted = retained.filter { it.number > committedNumber }.distinctBy { it.number }
+        return ownSegments.flatMap { it.records } + uncommitted
+    }
 
     val retainers: List<List<Retainer>>
         get() {
--- a/homes/src/main/kotlin/sycamore/homes/TurnHome.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnHome.kt
@@ -31,6 +31,7 @@
 import sycamore.turns.TurnRecords
 import sycamore.turns.TurnStarted
 import sycamore.turns.TurnTable
+import sycamore.turns.TurnsCounted
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
@@ -137,7 +138,8 @@
      */
     fun adopt(log: List<LogRecord>) {
         val records = log.map { TurnRecords.decode(it.bytes) }
-        val ended = records.filterIsInstance<TurnEnd>().mapTo(HashSet()) { it.turn }
+        val counted = records.filterIsInstance<TurnsCounted>().flatMap { it.turns }
+        val ended = records.filterIsInstance<TurnEnd>().map { it.turn }.toSet() + counted
         val broken =
             records
                 .filterIsInstance<TurnStarted>()
@@ -147,7 +149,7 @@
         registrations.adopt(records)
         journal.appendAdopted(log.map { it.bytes })
         broken.forEach(journal::append)
-        val completeTurns = records.count { it is TurnFinished }
+        val completeTurns = records.count { it is TurnFinished } + counted.size
         logger.event(
             "programs-adopted",
             "home" to id,
--- a/turns/src/main/kotlin/sycamore/turns/LogSegment.kt
+++ b/turns/src/main/kotlin/sycamore/turns/LogSegment.kt
@@ -48,6 +48,7 @@
 /**
  * One value of a home's log in the key-value service.
  *
+ * @property records records by number. Numbers are missing where a record replaces earlier ones; see [condense].
  * @property id id of one attempt to write the segment, by which a writer whose response was lost recognizes its own
  *     value.
  * @property retainers the only retainers, besides [formerRetainers], that may store records above this segment's.
@@ -62,7 +63,10 @@
     val retainers: List<Retainer> = emptyList(),
     val formerRetainers: List<Retainer> = emptyList(),
     val sealedBy: HomeId? = null,
-)
+) {
+    /** Number up to which all records of the log are committed with this segment; 0 if it contains none. */
+    val lastNumber: Long get() = records.lastOrNull()?.number ?: 0
+}
 
 /** Encodes segments as compressed CBOR, and defines their keys. */
 object LogSegments {
--- a/turns/src/main/kotlin/sycamore/turns/ProgramTurns.kt
+++ b/turns/src/main/kotlin/sycamore/turns/ProgramTurns.kt
@@ -128,6 +128,15 @@
             is TurnStarted -> begin(record)
             is TurnFinished -> end(record, record.tokens, record.output)
             is TurnBroken -> end(record, record.tokens, output = null)
+            is TurnsCounted -> count(record)
+        }
+    }
+
+    private fun count(record: TurnsCounted) {
+        for ((turn, tokens) in record.turns zip record.tokens) {
+            begin(TurnStarted(record.program, turn, previous = null, input = EMPTY, reserved = 0))
+            val end = TurnFinished(record.program, turn, EMPTY, tokens)
+            end(end, end.tokens, end.output)
         }
     }
 
@@ -214,4 +223,8 @@
             else -> TurnBroken(name, id, turn.tokens)
         }
     }
+
+    private companion object {
+        val EMPTY = ByteArray(0)
+    }
 }
--- a/turns/src/main/kotlin/sycamore/turns/TurnRecord.kt
+++ b/turns/src/main/kotlin/sycamore/turns/TurnRecord.kt
@@ -59,6 +59,23 @@
     @SerialName("n") val tokens: Long,
 ) : TurnEnd
 
+/**
+ * Record of turns that were answered completely and whose texts no later turn needs. It replaces the records of their starts and
+ * ends.
+ *
+ * @property turns the turns that ended.
+ * @property tokens number of tokens that each of [turns] generated, in the same order.
+ * @property isRegistered whether the directory of programs named this home as the program's home when one of them started.
+ */
+@Serializable
+@SerialName("c")
+data class TurnsCounted(
+    @SerialName("p") override val program: ProgramName,
+    @SerialName("t") val turns: List<AttemptId>,
+    @SerialName("n") val tokens: List<Long>,
+    @SerialName("g") val isRegistered: Boolean = false,
+) : TurnRecord
+
 /** Encodes records as CBOR. */
 object TurnRecords {
     private val cbor =
--- a/turns/src/main/kotlin/sycamore/turns/TurnTable.kt
+++ b/turns/src/main/kotlin/sycamore/turns/TurnTable.kt
@@ -93,21 +93,22 @@
     /** Applies [record] to its program. */
     fun apply(record: TurnRecord) {
         when (record) {
-            is TurnStarted -> apply(record, record.turn)
-            is TurnEnd -> apply(record, record.turn)
+            is TurnStarted -> apply(record, listOf(record.turn))
+            is TurnEnd -> apply(record, listOf(record.turn))
+            is TurnsCounted -> apply(record, record.turns)
         }
     }
 
     private fun apply(
         record: TurnRecord,
-        turn: AttemptId,
+        turns: List<AttemptId>,
     ) {
         withShard(record.program) { programs ->
             val entry = programs.getOrPut(record.program) { Entry(ProgramTurns(), time.markNow()) }
             entry.lastUse = time.markNow()
             entry.turns.apply(record)
         }
-        programOf[turn] = record.program
+        turns.forEach { programOf[it] = record.program }
     }
 
     /** Tokens of [program] that are spent or reserved. */
