Keep no cache of header fields for each connection

Jetty keeps a cache of parsed header fields for each connection, and the fields of calls differ from one call to the next. A host has 4,100 descriptors, so a gateway with a heap of 96 MB would run out of memory at about a thousand callers.

Change: no such cache, on the callers' side and towards upstreams and the store.

--- a/forwarding/src/main/kotlin/sycamore/forwarding/CallerServer.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/CallerServer.kt
@@ -48,7 +48,11 @@
     private val scope = CoroutineScope(context + SupervisorJob(context[Job]))
     private val server = Server(QueuedThreadPool(MAX_THREADS, MIN_THREADS))
     private val openRequests = OpenRequests<EndPoint>()
-    private val http = HttpConfiguration().apply { sendServerVersion = false }
+    private val http =
+        HttpConfiguration().apply {
+            sendServerVersion = false
+            headerCacheSize = KeepAliveConnector.NO_HEADER_CACHE
+        }
     private val connector = ServerConnector(server, 1, 1, HttpConnectionFactory(http))
 
     /** Whether connections are closed after their next response. */
--- a/forwarding/src/main/kotlin/sycamore/forwarding/KeepAliveConnector.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/KeepAliveConnector.kt
@@ -1,6 +1,7 @@
 package sycamore.forwarding
 
 import jdk.net.ExtendedSocketOptions
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP
 import org.eclipse.jetty.io.ClientConnector
 import org.eclipse.jetty.util.ssl.SslContextFactory
 import java.net.StandardSocketOptions
@@ -33,11 +34,21 @@
         socket.setOption(ExtendedSocketOptions.TCP_KEEPCOUNT, UNANSWERED_PROBES_LIMIT)
     }
 
-    private companion object {
+    companion object {
         /** The idle time before the first probe, and the interval between probes. */
-        const val PROBE_INTERVAL_SECONDS = 1
+        private const val PROBE_INTERVAL_SECONDS = 1
 
         /** A connection is closed after this many probes without a response. */
-        const val UNANSWERED_PROBES_LIMIT = 2
+        private const val UNANSWERED_PROBES_LIMIT = 2
+
+        /**
+         * Size of the cache of header fields that Jetty has for each connection, on both sides. The fields of calls differ from one
+         * call to the next, so a cache would only take memory, some tens of kilobytes for each connection.
+         */
+        const val NO_HEADER_CACHE = 0
+
+        /** A transport of HTTP/1.1 over such connections. */
+        fun transport(): HttpClientTransportOverHTTP =
+            HttpClientTransportOverHTTP(KeepAliveConnector()).apply { headerCacheSize = NO_HEADER_CACHE }
     }
 }
--- a/forwarding/src/main/kotlin/sycamore/forwarding/StoreHttp.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/StoreHttp.kt
@@ -4,7 +4,6 @@
 import org.eclipse.jetty.client.CompletableResponseListener
 import org.eclipse.jetty.client.ContentResponse
 import org.eclipse.jetty.client.HttpClient
-import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP
 import org.eclipse.jetty.util.thread.QueuedThreadPool
 import org.http4k.core.HttpHandler
 import org.http4k.core.Request
@@ -28,7 +27,7 @@
     /** Creates a client whose connections use TCP keep-alive probes. An interrupted call closes its connection. */
     fun client(): HttpHandler {
         val client =
-            HttpClient(HttpClientTransportOverHTTP(KeepAliveConnector())).apply {
+            HttpClient(KeepAliveConnector.transport()).apply {
                 executor = QueuedThreadPool(MAX_THREADS, MIN_THREADS)
                 isFollowRedirects = false
                 maxResponseHeadersSize = UpstreamClient.MAX_HEAD_BYTES
--- a/forwarding/src/main/kotlin/sycamore/forwarding/UpstreamClient.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/UpstreamClient.kt
@@ -16,7 +16,6 @@
 import org.eclipse.jetty.client.Request
 import org.eclipse.jetty.client.Response
 import org.eclipse.jetty.client.Result
-import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP
 import org.eclipse.jetty.http.HttpCookieStore
 import org.eclipse.jetty.io.Content
 import org.eclipse.jetty.util.thread.QueuedThreadPool
@@ -97,7 +96,7 @@
 ) : AutoCloseable {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val client =
-        HttpClient(HttpClientTransportOverHTTP(KeepAliveConnector())).apply {
+        HttpClient(KeepAliveConnector.transport()).apply {
             isFollowRedirects = false
             httpCookieStore = HttpCookieStore.Empty()
             maxConnectionsPerDestination = MAX_CONNECTIONS_PER_UPSTREAM
