A complete answer of a turn outlasts the report that the turn broke elsewhere

Cause: the home of the first attempt recorded the refused turn as broken with 0 tokens. While programs have no confirmed home, that record reached the home that was running the turn: as a count of tokens, or in the log of a home that it took over. The first end of a turn won, so its answer was discarded when it was complete. The same happened in a successor that read both logs. The class is that of the incident: the outcome of one attempt was attributed to another one by an id that both share.

Evidence: two new tests fail on the code before: TurnTableTest `a turn that was answered completely is complete although another home reports that it broke`, and HomeDaemonTest `a turn that another home reports while it runs is complete once it is answered`, expected: <whole> but was: <NO_SUCH_TURN>.

Fix: the end with a complete answer replaces one without, in whatever order records are applied, and its tokens replace those counted before.

--- a/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
@@ -13,7 +13,9 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.homes.HomeFixture.Companion.address
 import sycamore.homes.HomeFixture.Companion.outcome
+import sycamore.links.CountTokens
 import sycamore.links.Declined
+import sycamore.links.Done
 import sycamore.links.FindTurn
 import sycamore.links.GateStatus
 import sycamore.links.GetGateStatus
@@ -26,6 +28,7 @@
 import sycamore.links.TurnFound
 import sycamore.links.TurnRefused
 import sycamore.routing.AttemptId
+import sycamore.routing.ProgramName
 import sycamore.services.ReadResult
 import sycamore.turns.HomeKeys
 import kotlin.test.Test
@@ -719,6 +722,19 @@
             assertEquals("TARGET_LEAVES", fixture.sendTurn(1, "a").outcome())
         }
 
+    /** Guards against a complete turn that is unknown to the next one: a home at which it was refused reported it as ended meanwhile. */
+    @Test
+    fun `a turn that another home reports while it runs is complete once it is answered`() =
+        homeTest { fixture ->
+            fixture.startReady(1)
+            val answer = async { fixture.sendTurn(1, "a").outcome() }
+            delay(fixture.answerTime / 2)
+            val counted = CountTokens(ProgramName("p"), AttemptId("a"), tokens = 0)
+            assertIs<Done>(fixture.exchange(address(1), counted).first())
+            assertEquals("whole", answer.await())
+            assertEquals("whole", fixture.sendTurn(1, "b", "a").outcome())
+        }
+
     @Test
     fun `a turn that does not exist is refused`() =
         homeTest { fixture ->
--- a/turns/src/main/kotlin/sycamore/turns/ProgramTurns.kt
+++ b/turns/src/main/kotlin/sycamore/turns/ProgramTurns.kt
@@ -116,7 +116,7 @@
         }
     }
 
-    /** Reverts the start of [turn], which never reached an engine. */
+    /** Reverts the start of [turn], which did not run. */
     fun withdraw(turn: AttemptId) {
         val withdrawn = turns.remove(turn) ?: return
         if (withdrawn.isOpen) reserved -= withdrawn.reserved
@@ -154,15 +154,18 @@
     ) {
         val turn = turns[record.turn]
         if (turn == null) {
-            earlyEnds[record.turn] = record
+            val early = earlyEnds[record.turn]
+            if (early !is TurnFinished) earlyEnds[record.turn] = record
             return
         }
-        if (!turn.isOpen) return
+        // An engine may have refused the turn, so that it ended as broken there, and another one answered it.
+        val completesBroken = output != null && turn.output == null
+        if (!turn.isOpen && !completesBroken) return
+        if (turn.isOpen) reserved -= turn.reserved
         turn.isOpen = false
+        spent += tokens - turn.tokens
         turn.output = output
         turn.tokens = tokens
-        reserved -= turn.reserved
-        spent += tokens
     }
 
     /**
--- a/turns/src/test/kotlin/sycamore/turns/TurnTableTest.kt
+++ b/turns/src/test/kotlin/sycamore/turns/TurnTableTest.kt
@@ -132,6 +132,19 @@
         assertTrue(table.contains(ProgramName("busy")))
     }
 
+    /** Guards against a complete turn that cannot be continued, because another home had the turn refused by its engine. */
+    @Test
+    fun `a turn that was answered completely is complete although another home reports that it broke`() {
+        val began = TurnStarted(program, AttemptId("a"), null, "in-a;".encodeToByteArray(), reserved = 40)
+        val refused = TurnBroken(program, AttemptId("a"), 0)
+        val finished = TurnFinished(program, AttemptId("a"), "out-a\n".encodeToByteArray(), 10)
+        for (records in listOf(listOf(began, refused, finished), listOf(finished, refused, began))) {
+            val table = TurnTable(time).apply { records.forEach(::apply) }
+            assertEquals("in-a;out-a\n", table.promptAfter(AttemptId("a"))?.decodeToString(), "$records")
+            assertEquals(10, table.committedTokens(program))
+        }
+    }
+
     /** A successor reads records from segments and from retainers, some of them twice and out of order. */
     @Property(tries = 100, seed = "31")
     fun `records in any order, some of them twice, give the same table`(
