A turn that its engine refused can run through the same home

What callers saw: 502 for a turn that no engine ran. The engine could not be reached, answered 421 or refused as it was leaving, the gateway sent the turn again with another engine through the program's home, and the home answered that the turn had been started before.

Cause: the home kept the refused turn as ended. Only turns that were refused before they were sent were withdrawn from its table.

Evidence: HomeDaemonTest `a turn that an engine refused runs when it is sent again through the same home` fails on the code before: expected: <whole> but was: <broke>. It also has a successor read the log.

Fix: a refused turn did not run, so its start is withdrawn. The end record stays in the log, so that a successor frees the tokens that the start reserved; a later complete answer replaces it there.

--- a/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
@@ -274,13 +274,10 @@
         private fun recordBroken(last: Message) {
             isEnded = true
             if (record == null) return
-            if (startNumber == null) {
-                home.table.withdraw(call.program, call.turn)
-                return
-            }
-            val record = TurnBroken(call.program, call.turn, if (last is TurnRefused) 0 else answerTokens())
-            home.table.apply(record)
-            if (!home.journal.ended.isCompleted) home.journal.append(record)
+            val didRun = startNumber != null && last !is TurnRefused
+            val end = TurnBroken(call.program, call.turn, if (didRun) answerTokens() else 0)
+            if (didRun) home.table.apply(end) else home.table.withdraw(call.program, call.turn)
+            if (startNumber != null && !home.journal.ended.isCompleted) home.journal.append(end)
         }
 
         private fun answerTokens(): Long = events.events.toLong() * call.tokensPerEvent
--- a/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
@@ -722,6 +722,27 @@
             assertEquals("TARGET_LEAVES", fixture.sendTurn(1, "a").outcome())
         }
 
+    /** Guards against a turn that its engine refused and that is then answered as interrupted, although another engine could run it. */
+    @Test
+    fun `a turn that an engine refused runs when it is sent again through the same home`() =
+        homeTest { fixture ->
+            fixture.startReady(1)
+            fixture.isFull = true
+            fixture.isEngineLeaving = true
+            assertEquals("TARGET_LEAVES", fixture.sendTurn(1, "a", budget = 100).outcome())
+            fixture.isFull = false
+            fixture.isEngineLeaving = false
+            val call = fixture.runTurnMessage(1, "a", budget = 100)
+            val other = call.copy(target = call.target.copy(bornMillis = 2))
+            assertEquals("whole", fixture.exchange(address(1), other).toList().outcome())
+            val lost = fixture.homeAt(1)
+            fixture.startReady(2)
+            fixture.kill(address(1))
+            assertIs<HomeTakenOver>(fixture.takeOver(lost, by = 2))
+            assertEquals("whole", fixture.sendTurn(2, "b", "a", budget = 100).outcome())
+            assertEquals("in-a;one\ntwo\nin-b;", fixture.prompts["b"])
+        }
+
     /** Guards against a complete turn that is unknown to the next one: a home at which it was refused reported it as ended meanwhile. */
     @Test
     fun `a turn that another home reports while it runs is complete once it is answered`() =
--- a/turns/src/main/kotlin/sycamore/turns/TurnTable.kt
+++ b/turns/src/main/kotlin/sycamore/turns/TurnTable.kt
@@ -81,7 +81,7 @@
         turn: AttemptId,
     ): ByteArray = withShard(program) { it[program]?.turns?.prompt(turn) } ?: ByteArray(0)
 
-    /** Reverts the start of [turn], which never reached an engine. */
+    /** Reverts the start of [turn], which did not run. It may be started again. */
     fun withdraw(
         program: ProgramName,
         turn: AttemptId,
