Record which request an upstream's answer names, and the use of its connection

Nothing told apart the explanations of calls that ran although they were refused: an answer of an earlier call that was read as the answer to the next, a call that was written although the client reported that it was not, and an upstream's own status that reads as a promise.

Gateway and homes now count answers by the request that they name and by what they state of the call's run, and failed requests by whether they may have been received. An answer that names another request or none, a refusal without the statement that the call was not run, and bytes that belong to no request get a line each, with the number of requests on the connection and its age. `call-ended` has these two for the last answer. Handling of answers is unchanged.

Jetty's receiver discards bytes that follow a complete response in the same read, without a trace above DEBUG. A subclass of its connection notices them, and those that come while no request is in progress. The store's client uses the same connections.

--- /dev/null
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/ClientConnection.kt
@@ -0,0 +1,56 @@
+package sycamore.forwarding
+
+import org.eclipse.jetty.client.transport.internal.HttpChannelOverHTTP
+import org.eclipse.jetty.client.transport.internal.HttpConnectionOverHTTP
+import org.eclipse.jetty.client.transport.internal.HttpReceiverOverHTTP
+import org.eclipse.jetty.http.HttpStatus
+import org.eclipse.jetty.io.EndPoint
+import java.util.concurrent.atomic.AtomicBoolean
+import kotlin.time.TimeSource
+
+/**
+ * An HTTP/1.1 connection to a server that reports how much it was used.
+ *
+ * @param onStrayBytes called once when the server has sent bytes that belong to no request: after a complete response,
+ *   or while no request was in progress.
+ */
+internal class ClientConnection(
+    endPoint: EndPoint,
+    context: Map<String, Any>,
+    time: TimeSource,
+    private val onStrayBytes: (ClientConnection) -> Unit,
+) : HttpConnectionOverHTTP(endPoint, context) {
+    private val openedAt = time.markNow()
+    private val hasStrayBytes = AtomicBoolean()
+
+    /** The use of this connection until now. */
+    val use: ConnectionUse get() = ConnectionUse(messagesOut, openedAt.elapsedNow())
+
+    override fun newHttpChannel(): HttpChannelOverHTTP = Channel()
+
+    override fun addBytesIn(count: Long) {
+        super.addBytesIn(count)
+        if (httpChannel.httpExchange == null) reportStrayBytes()
+    }
+
+    private fun reportStrayBytes() {
+        if (hasStrayBytes.compareAndSet(false, true)) onStrayBytes(this)
+    }
+
+    private inner class Channel : HttpChannelOverHTTP(this) {
+        override fun newHttpReceiver(): HttpReceiverOverHTTP = Receiver(this)
+    }
+
+    private inner class Receiver(
+        channel: HttpChannelOverHTTP,
+    ) : HttpReceiverOverHTTP(channel) {
+        override fun messageComplete(): Boolean {
+            val isComplete = super.messageComplete()
+            // Jetty discards these bytes.
+            if (isComplete && !isInterim && responseBuffer.hasRemaining()) reportStrayBytes()
+            return isComplete
+        }
+
+        private val isInterim: Boolean get() = HttpStatus.isInterim(httpExchange.response.status)
+    }
+}
--- a/forwarding/src/main/kotlin/sycamore/forwarding/KeepAliveConnector.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/KeepAliveConnector.kt
@@ -1,7 +1,6 @@
 package sycamore.forwarding
 
 import jdk.net.ExtendedSocketOptions
-import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP
 import org.eclipse.jetty.io.ClientConnector
 import org.eclipse.jetty.util.ssl.SslContextFactory
 import java.net.StandardSocketOptions
@@ -46,9 +45,5 @@
          * call to the next, so a cache would only take memory, some tens of kilobytes for each connection.
          */
         const val NO_HEADER_CACHE = 0
-
-        /** A transport of HTTP/1.1 over such connections. */
-        fun transport(): HttpClientTransportOverHTTP =
-            HttpClientTransportOverHTTP(KeepAliveConnector()).apply { headerCacheSize = NO_HEADER_CACHE }
     }
 }
--- a/forwarding/src/main/kotlin/sycamore/forwarding/StoreHttp.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/StoreHttp.kt
@@ -27,7 +27,7 @@
     /** Creates a client whose connections use TCP keep-alive probes. An interrupted call closes its connection. */
     fun client(): HttpHandler {
         val client =
-            HttpClient(KeepAliveConnector.transport()).apply {
+            HttpClient(ClientTransport(onStrayBytes = AnswerRecord::logStrayBytes)).apply {
                 executor = QueuedThreadPool(MAX_THREADS, MIN_THREADS)
                 isFollowRedirects = false
                 maxResponseHeadersSize = UpstreamClient.MAX_HEAD_BYTES
--- a/forwarding/src/main/kotlin/sycamore/forwarding/UpstreamClient.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/UpstreamClient.kt
@@ -1,5 +1,6 @@
 package sycamore.forwarding
 
+import io.micrometer.core.instrument.MeterRegistry
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -20,7 +21,9 @@
 import org.eclipse.jetty.io.Content
 import org.eclipse.jetty.util.thread.QueuedThreadPool
 import sycamore.model.Address
+import sycamore.platform.CallHeaders
 import sycamore.platform.Header
+import sycamore.routing.AttemptId
 import java.io.EOFException
 import java.io.IOException
 import java.util.concurrent.CancellationException
@@ -29,8 +32,13 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** A request to an upstream. */
+/**
+ * A request to an upstream.
+ *
+ * @property id the id of the attempt, which is among [headers]. The upstream names it in its response.
+ */
 class UpstreamRequest(
+    val id: AttemptId,
     val address: Address,
     val method: String,
     val target: String,
@@ -40,10 +48,15 @@
 
 /** A part of a response. The parts are emitted in the order in which they are received. */
 sealed interface ResponseEvent {
-    /** The status and headers. */
+    /**
+     * The status and headers.
+     *
+     * @property connection the use of the connection on which the response is received; null if unknown.
+     */
     class Head(
         val status: Int,
         val headers: List<Header>,
+        val connection: ConnectionUse? = null,
     ) : ResponseEvent
 
     /** Bytes of the body. */
@@ -91,12 +104,14 @@
  * its connection can be kept. It has mostly arrived together with the head.
  */
 class UpstreamClient(
+    registry: MeterRegistry,
     connectTimeout: Duration = CONNECT_TIMEOUT,
     idleTimeout: Duration = IDLE_TIMEOUT,
 ) : AutoCloseable {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val record = AnswerRecord(registry)
     private val client =
-        HttpClient(KeepAliveConnector.transport()).apply {
+        HttpClient(ClientTransport(onStrayBytes = record::recordStrayBytes)).apply {
             isFollowRedirects = false
             httpCookieStore = HttpCookieStore.Empty()
             maxConnectionsPerDestination = MAX_CONNECTIONS_PER_UPSTREAM
@@ -113,7 +128,7 @@
     /** Sends [request] as [CallUpstream] specifies. */
     fun exchange(request: UpstreamRequest): Flow<ResponseEvent> =
         flow {
-            val response = ResponseReader()
+            val response = ResponseReader(request)
             val jetty =
                 client
                     .newRequest("http://${request.address}${request.target}")
@@ -163,7 +178,9 @@
     )
 
     /** Hands the parts of a response that Jetty reads to the collector, one at a time. */
-    private class ResponseReader : Response.Listener {
+    private inner class ResponseReader(
+        private val request: UpstreamRequest,
+    ) : Response.Listener {
         val parts = Channel<Part>(Channel.UNLIMITED)
         val sent = AtomicBoolean()
 
@@ -182,7 +199,9 @@
             isFramed = response.headers.contains("Content-Length") || response.headers.contains("Transfer-Encoding")
             isShort = response.headers.getLongField("Content-Length") in 0..SHORT_BODY_BYTES
             val headers = response.headers.map { it.name to it.value.orEmpty() }
-            parts.trySend(Part(ResponseEvent.Head(response.status, headers)))
+            val use = (response.request.connection as ClientConnection).use
+            record.recordHead(request, CallHeaders.decodeResponse(response.status, headers), use)
+            parts.trySend(Part(ResponseEvent.Head(response.status, headers, use)))
         }
 
         override fun onContent(
@@ -203,6 +222,7 @@
                 parts.close()
             } else {
                 val failure = result.failure
+                record.recordFailure(sent.get())
                 parts.close(UpstreamException(reason(failure), sent.get()))
             }
         }
--- a/forwarding/src/test/kotlin/sycamore/forwarding/EndlessResponseTest.kt
+++ b/forwarding/src/test/kotlin/sycamore/forwarding/EndlessResponseTest.kt
@@ -1,5 +1,6 @@
 package sycamore.forwarding
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
@@ -9,6 +10,7 @@
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.model.Address
+import sycamore.routing.AttemptId
 import java.io.IOException
 import java.io.OutputStream
 import java.net.ServerSocket
@@ -28,8 +30,9 @@
  */
 class EndlessResponseTest {
     private val listener = ServerSocket(0)
-    private val client = UpstreamClient()
+    private val client = UpstreamClient(SimpleMeterRegistry())
     private val written = AtomicLong()
+    private val id = AttemptId("a")
 
     @AfterTest
     fun stop() {
@@ -78,7 +81,8 @@
     }
 
     private suspend fun send(): List<ResponseEvent> {
-        val request = UpstreamRequest(Address("127.0.0.1", listener.localPort), "POST", "/a", emptyList(), ByteArray(0))
+        val request =
+            UpstreamRequest(id, Address("127.0.0.1", listener.localPort), "POST", "/a", emptyList(), ByteArray(0))
         val events = ArrayList<ResponseEvent>()
         withTimeoutOrNull(ABORT_TIMEOUT) { client.exchange(request).collect { events += it } }
             ?: fail("the response was not aborted")
@@ -123,7 +127,7 @@
         runBlocking {
             serve("HTTP/1.1 200 OK\r\n\r\n", "a")
             val request =
-                UpstreamRequest(Address("127.0.0.1", listener.localPort), "GET", "/a", emptyList(), ByteArray(0))
+                UpstreamRequest(id, Address("127.0.0.1", listener.localPort), "GET", "/a", emptyList(), ByteArray(0))
             var taken = 0L
             try {
                 client.exchange(request).collect { event ->
--- a/gateway/src/main/kotlin/sycamore/gateway/AcceptedCall.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/AcceptedCall.kt
@@ -1,5 +1,6 @@
 package sycamore.gateway
 
+import sycamore.forwarding.ConnectionUse
 import sycamore.model.HomeId
 import sycamore.model.ServiceName
 import sycamore.platform.Header
@@ -49,6 +50,10 @@
     @Volatile
     var sends = 0
 
+    /** The connection on which the last upstream answered a plain call; null if none did. */
+    @Volatile
+    var connection: ConnectionUse? = null
+
     /** Why no upstream answered the call; null if one did. */
     @Volatile
     var detail: String? = null
--- a/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
@@ -163,6 +163,11 @@
         "home" to call.trace.home,
         "upstream" to call.trace.upstream,
         "sends" to call.trace.sends,
+        "connection_requests" to call.trace.connection?.requests,
+        "connection_ms" to
+            call.trace.connection
+                ?.age
+                ?.inWholeMilliseconds,
         "status" to caller.status,
         "cut" to (caller.abortReason ?: "the caller left".takeIf { caller.status == null }),
         "detail" to call.trace.detail,
--- a/gateway/src/main/kotlin/sycamore/gateway/Main.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/Main.kt
@@ -25,7 +25,8 @@
         val listener = CallerServer.listen(callers)
         val runtime = PlatformDaemon(settings)
         val registry = runtime.metrics.registry
-        val gateway = Gateway(settings, runtime.keyValue, runtime.links::exchange, UpstreamClient()::exchange, registry)
+        val client = UpstreamClient(registry)
+        val gateway = Gateway(settings, runtime.keyValue, runtime.links::exchange, client::exchange, registry)
         launch { gateway.run() }
         launch { runtime.serveMetrics(metricsPort) }
         val server = CallerServer(listener, gateway::limits, Dispatchers.Default, gateway::serve).start()
--- a/gateway/src/main/kotlin/sycamore/gateway/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/UpstreamAttempt.kt
@@ -77,7 +77,7 @@
 
     private suspend fun exchange(): AttemptResult {
         val headers = call.forwarded + CallHeaders.upstreamHeaders(upstream.id, call.timeLeft)
-        val request = UpstreamRequest(upstream.address, call.method, call.target, headers, call.body)
+        val request = UpstreamRequest(call.head.id!!, upstream.address, call.method, call.target, headers, call.body)
         try {
             callUpstream(request).collectWhile(::handle)
         } catch (e: UpstreamException) {
@@ -111,6 +111,7 @@
 
     private suspend fun handleHead(event: ResponseEvent.Head) {
         head = event
+        call.trace.connection = event.connection
         if (CallHeaders.isLeaving(event.headers)) onLeaving(upstream)
         rejection = rejectionOf(event)
         if (rejection == null && isStream) startForwarding()
--- a/homes/src/main/kotlin/sycamore/homes/EngineCall.kt
+++ b/homes/src/main/kotlin/sycamore/homes/EngineCall.kt
@@ -35,7 +35,7 @@
         replies: FlowCollector<Message>,
     ) {
         val headers = call.headers.map { it.name to it.value } + CallHeaders.upstreamHeaders(call.target.id, timeLeft)
-        val request = UpstreamRequest(call.target.address, call.method, call.path, headers, prompt)
+        val request = UpstreamRequest(call.turn, call.target.address, call.method, call.path, headers, prompt)
         var end: Message = TurnInterrupted("the engine's answer ended early")
         try {
             callUpstream(request).collectWhile { event ->
--- a/homes/src/main/kotlin/sycamore/homes/Main.kt
+++ b/homes/src/main/kotlin/sycamore/homes/Main.kt
@@ -18,7 +18,7 @@
                 settings,
                 runtime.keyValue,
                 runtime.links::exchange,
-                UpstreamClient()::exchange,
+                UpstreamClient(registry)::exchange,
                 registry,
                 coroutineContext,
             )
--- a/rehearsal/src/main/kotlin/sycamore/rehearsal/Rehearsal.kt
+++ b/rehearsal/src/main/kotlin/sycamore/rehearsal/Rehearsal.kt
@@ -135,7 +135,7 @@
                 settings,
                 runtime.keyValue,
                 runtime.links::exchange,
-                UpstreamClient()::exchange,
+                UpstreamClient(runtime.metrics.registry)::exchange,
                 runtime.metrics.registry,
                 scope.coroutineContext,
             )
@@ -152,7 +152,7 @@
                 settings,
                 runtime.keyValue,
                 runtime.links::exchange,
-                UpstreamClient()::exchange,
+                UpstreamClient(runtime.metrics.registry)::exchange,
                 runtime.metrics.registry,
             )
         scope.launch { gateway.run() }
