Tests that fail: an upstream repeats the answer to an earlier request

What callers saw: calls that must run once were refused with 503 although they ran, and ran at a second upstream. An upstream that writes an earlier answer once more on a kept connection is enough:

- `a repeated refusal of an earlier turn is no answer to a running turn`: expected: <broke> but was: <NOT_NOW>; `a repeated 421 to an earlier turn is no answer to a running turn`: <TARGET_GONE>; `turns after a repeated refusal get their own answers`: 6 of 10 turns were broken off.

The settings of GatewayTest move to GatewayFixture, so that both tests use them.

--- a/gateway/src/test/kotlin/sycamore/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/sycamore/gateway/GatewayTest.kt
@@ -1,8 +1,6 @@
 package sycamore.gateway
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
-import kotlinx.collections.immutable.persistentListOf
-import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -24,15 +22,8 @@
 import sycamore.links.LinkException
 import sycamore.model.Address
 import sycamore.model.HomeId
-import sycamore.model.HostName
-import sycamore.model.Place
-import sycamore.model.PlaceName
-import sycamore.model.RegionName
-import sycamore.platform.HostSettings
-import sycamore.platform.PlatformBounds
 import sycamore.platform.SampleDocuments
 import sycamore.platform.StoreKeys
-import sycamore.platform.StoreSettings
 import sycamore.services.Revision
 import sycamore.standins.KeyValueStore
 import sycamore.turns.HomeEntry
@@ -45,7 +36,6 @@
 import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * Guards against a gateway that repeats a non-idempotent call which may have run, reports it as not run, or forwards
@@ -212,7 +202,7 @@
         }
         val gateway =
             Gateway(
-                settings,
+                GatewayFixture.settings,
                 store,
                 { to, _ -> throw LinkException("$to is down", sent = false) },
                 ::call,
@@ -284,24 +274,5 @@
 
     private companion object {
         const val HOST = "gateway.example"
-
-        val settings =
-            HostSettings(
-                name = HostName("g1"),
-                place = Place(PlaceName("here"), RegionName("here")),
-                places = persistentMapOf(),
-                ip = "127.0.0.1",
-                firstPort = 1,
-                lastPort = 1,
-                callers = null,
-                readinessAddress = null,
-                upstream = null,
-                dataDirectory = null,
-                maxLostDisks = 1,
-                bounds = PlatformBounds(2.5.seconds, 8.seconds, 2.5.seconds, 1.seconds),
-                store = StoreSettings(Address("127.0.0.1", 1), 400.0, 2000.0, 1 shl 20),
-                memoryMib = 256,
-                contracts = persistentListOf(),
-            )
     }
 }
--- /dev/null
+++ b/homes/src/test/kotlin/sycamore/homes/MisattributedEngineAnswersTest.kt
@@ -0,0 +1,99 @@
+package sycamore.homes
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import kotlinx.coroutines.flow.toList
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.test.TestScope
+import sycamore.forwarding.UpstreamClient
+import sycamore.homes.HomeFixture.Companion.outcome
+import sycamore.links.HeaderField
+import sycamore.links.LinkException
+import sycamore.links.Message
+import sycamore.platform.SampleDocuments
+import sycamore.standins.SocketRequest
+import sycamore.standins.SocketUpstream
+import java.io.OutputStream
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.TimeSource
+
+/**
+ * Guards against answers of an engine that are attributed to a turn by their place on the connection. An engine on
+ * loopback writes its refusal of the first turn once more, on a connection that is kept open.
+ */
+class MisattributedEngineAnswersTest {
+    private val client = UpstreamClient(SimpleMeterRegistry())
+    private val engine = SocketUpstream(::respond)
+    private val prompts =
+        PromptSender(
+            localEngine = engine.address,
+            EngineGate(TimeSource.Monotonic),
+            client::exchange,
+            { to, _ -> throw LinkException("$to is down", sent = false) },
+            TimeSource.Monotonic,
+        )
+    private var refusalStatus = 503
+    private var refusal = ByteArray(0)
+
+    @AfterTest
+    fun stop() {
+        client.close()
+        engine.close()
+    }
+
+    /** Guards against a turn that runs and is refused as not run. */
+    @Test
+    fun `a repeated refusal of an earlier turn is no answer to a running turn`() =
+        runBlocking {
+            assertEquals("NOT_NOW", send("t0").outcome())
+            assertEquals("broke", send("t1").outcome())
+        }
+
+    /** Guards against a turn that runs and is sent to another engine. */
+    @Test
+    fun `a repeated 421 to an earlier turn is no answer to a running turn`() =
+        runBlocking {
+            refusalStatus = 421
+            assertEquals("TARGET_GONE", send("t0").outcome())
+            assertEquals("broke", send("t1").outcome())
+        }
+
+    /** Guards against a connection on which each turn gets the answer to the turn before it. */
+    @Test
+    fun `turns after a repeated refusal get their own answers`() =
+        runBlocking {
+            send("t0")
+            send("t1")
+            assertEquals(List(10) { "whole" }, List(10) { send("t${it + 2}").outcome() })
+        }
+
+    private fun respond(
+        request: SocketRequest,
+        out: OutputStream,
+    ) {
+        val id = request.header("X-Request-Id")
+        val headers = SampleDocuments.answerHeaders(listOf("X-Request-Id" to id))
+        if (id == "t0") {
+            val notRun = listOf(SampleDocuments.notRunHeader).takeIf { refusalStatus == 503 }.orEmpty()
+            refusal = SocketUpstream.response(refusalStatus, headers + notRun, "full")
+            return out.write(refusal)
+        }
+        if (id == "t1") {
+            out.write(refusal)
+            Thread.sleep(RUN_MILLIS)
+        }
+        out.write(SocketUpstream.response(200, headers, "id: 0\ndata: $id\n\n"))
+    }
+
+    private suspend fun send(id: String): List<Message> {
+        val call = HomeFixture(TestScope()).runTurnMessage(1, id)
+        val target = call.target.copy(address = engine.address)
+        val headers = SampleDocuments.callHeaders(id).map { HeaderField(it.first, it.second) }
+        return prompts.send(call.copy(target = target, headers = headers), call.input).toList()
+    }
+
+    private companion object {
+        const val RUN_MILLIS = 50L
+    }
+}
