Go on following the store after a failed change

An exception while a daemon handled a change of the store ended its watch. A gateway or retainer then ended as a whole, read the same value after its restart and ended again. A home only logged "background work of the daemon failed" and went on serving without following retainers or homes.

OddConfigurationsTest failed before with "expected: <9> but was: <null>": a configuration with a timeout of NaN ended the watch, and the valid one that followed was never applied.

All daemons now use KeyValue.follow, which reports the failure and reads all keys again after a pause of at most a second. The followers of a home are children of its run(), so that the process ends if one of them ends, and runDaemon ends the process on errors of the JVM too, which left a process without background work before.

--- a/daemon/src/main/kotlin/sycamore/daemon/Program.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/Program.kt
@@ -82,14 +82,17 @@
         }
     }
 
-    /** Runs the daemon called [name] until [run] returns. An exception ends the process with [EXIT_FAILED]. */
+    /**
+     * Runs the daemon called [name] until [run] returns. If it throws, the process ends with [EXIT_FAILED]: other
+     * threads would keep a process alive whose background work has ended.
+     */
     fun runDaemon(
         name: String,
         run: suspend CoroutineScope.() -> Unit,
     ) {
         try {
             runBlocking(Dispatchers.Default, run)
-        } catch (e: Exception) {
+        } catch (e: Throwable) {
             log.error(e) { "$name stopped because of an exception" }
             fail(EXIT_FAILED, "$name stopped: ${e.message}")
         }
--- a/daemon/src/main/kotlin/sycamore/daemon/homes/HomeList.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/homes/HomeList.kt
@@ -10,13 +10,12 @@
 import kotlinx.serialization.SerializationException
 import sycamore.links.HomeEndpoint
 import sycamore.model.HomeId
-import sycamore.services.Backoff
 import sycamore.services.Item
 import sycamore.services.KeyValue
 import sycamore.services.ReadResult
 import sycamore.services.Revision
 import sycamore.services.WatchEvent
-import sycamore.services.watch
+import sycamore.services.follow
 import sycamore.turns.HomeEntry
 import sycamore.turns.HomeKeys
 
@@ -62,7 +61,7 @@
 
     /** Watches the registrations until cancelled. */
     suspend fun run() {
-        keys.watch(HomeKeys.PREFIX, backoff = Backoff.shortPauses()).collect { watched ->
+        keys.follow(HomeKeys.PREFIX, ::logFailure) { watched ->
             when (watched) {
                 is WatchEvent.Snapshot -> {
                     replaceAll(watched)
@@ -74,6 +73,9 @@
         }
     }
 
+    private fun logFailure(cause: Exception) =
+        log.error(cause) { "following the registrations of homes failed; all of them are read again" }
+
     @Synchronized
     private fun replaceAll(read: WatchEvent.Snapshot) {
         entries = decodeAll(read.items)
--- a/gateway/src/main/kotlin/sycamore/gateway/RoutesInForce.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/RoutesInForce.kt
@@ -7,11 +7,10 @@
 import sycamore.platform.Configurations
 import sycamore.platform.StoreKeys
 import sycamore.routing.RouteTable
-import sycamore.services.Backoff
 import sycamore.services.Item
 import sycamore.services.KeyValue
 import sycamore.services.WatchEvent
-import sycamore.services.watch
+import sycamore.services.follow
 
 private val log = KotlinLogging.logger {}
 
@@ -26,7 +25,7 @@
 
     /** Watches the configuration until cancelled. */
     suspend fun run() {
-        keyValue.watch(StoreKeys.CONFIGURATION, backoff = Backoff.shortPauses()).collect { watched ->
+        keyValue.follow(StoreKeys.CONFIGURATION, ::logFailure) { watched ->
             when (watched) {
                 is WatchEvent.Snapshot -> watched.items.forEach(::applyConfiguration)
                 is WatchEvent.Changes -> watched.items.forEach(::applyConfiguration)
@@ -35,6 +34,9 @@
         }
     }
 
+    private fun logFailure(cause: Exception) =
+        log.error(cause) { "following the configuration failed; it is read again" }
+
     private fun applyConfiguration(item: Item) {
         if (item.key != StoreKeys.CONFIGURATION) return
         val value = item.value ?: return
--- a/gateway/src/main/kotlin/sycamore/gateway/UpstreamDirectory.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/UpstreamDirectory.kt
@@ -1,6 +1,10 @@
 package sycamore.gateway
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeMark
+import kotlin.time.TimeSource
 import kotlinx.collections.immutable.ImmutableMap
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toImmutableMap
@@ -16,16 +20,11 @@
 import sycamore.platform.UpstreamEntries
 import sycamore.routing.ListedUpstream
 import sycamore.routing.UpstreamId
-import sycamore.services.Backoff
 import sycamore.services.Item
 import sycamore.services.KeyValue
 import sycamore.services.WatchEvent
 import sycamore.services.WatchTimings
-import sycamore.services.watch
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.TimeMark
-import kotlin.time.TimeSource
+import sycamore.services.follow
 
 private val log = KotlinLogging.logger {}
 
@@ -83,7 +82,7 @@
 
     /** Watches the registrations until cancelled. Delayed removals run in [scope]. */
     suspend fun run(scope: CoroutineScope) {
-        keyValue.watch(StoreKeys.UPSTREAMS, WatchTimings(pause = WATCH_PAUSE), Backoff.shortPauses()).collect { event ->
+        keyValue.follow(StoreKeys.UPSTREAMS, ::logFailure, WatchTimings(pause = WATCH_PAUSE)) { event ->
             when (event) {
                 is WatchEvent.Snapshot -> replace(scope, event.items.mapNotNull(UpstreamEntries::decode))
                 is WatchEvent.Changes -> applyChanges(scope, event.items)
@@ -92,6 +91,9 @@
         }
     }
 
+    private fun logFailure(cause: Exception) =
+        log.error(cause) { "following the registrations of upstreams failed; all of them are read again" }
+
     private fun recordUnreachable(reason: String) {
         if (unreachableSince != null) return
         unreachableSince = time.markNow()
--- a/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.FlowCollector
@@ -121,13 +122,18 @@
             else -> flowOf(Unsupported)
         }
 
-    /** Runs the background work of the daemon until cancelled. */
-    suspend fun run() {
+    /** Runs the background work of the daemon until cancelled. Fails if the registrations can no longer be followed. */
+    suspend fun run() =
+        coroutineScope {
+            val followers = listOf(launch { retainers.run() }, launch { homes.run() })
+            runHomes()
+            followers.forEach { it.cancel() }
+        }
+
+    private suspend fun runHomes() {
         meters.registerGauge(TurnMeters.RUNNING) { gate.running }
         meters.registerGauge(TurnMeters.WAITING) { gate.waiting }
         meters.registerGauge(TurnMeters.PROGRAMS) { home.table.size }
-        scope.launch { retainers.run() }
-        scope.launch { homes.run() }
         while (!isLeaving) {
             val current = home
             val formerTakeovers = scope.launch { takeovers.takeOverFormerHomes(current.id) }
--- a/homes/src/main/kotlin/sycamore/homes/RetainerDirectory.kt
+++ b/homes/src/main/kotlin/sycamore/homes/RetainerDirectory.kt
@@ -1,6 +1,12 @@
 package sycamore.homes
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.coroutineScope
@@ -17,20 +23,13 @@
 import sycamore.links.LinkException
 import sycamore.model.HostName
 import sycamore.model.PlaceName
-import sycamore.services.Backoff
 import sycamore.services.Item
 import sycamore.services.KeyValue
 import sycamore.services.WatchEvent
-import sycamore.services.watch
+import sycamore.services.follow
 import sycamore.turns.Retainer
 import sycamore.turns.RetainerId
 import sycamore.turns.RetainerKeys
-import java.util.concurrent.ConcurrentHashMap
-import kotlin.time.ComparableTimeMark
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
-import kotlin.time.TimeSource
 
 private val log = KotlinLogging.logger {}
 
@@ -160,7 +159,7 @@
     suspend fun run() {
         coroutineScope {
             launch { probePeriodically() }
-            keys.watch(RetainerKeys.PREFIX, backoff = Backoff.shortPauses()).collect { watched ->
+            keys.follow(RetainerKeys.PREFIX, ::logFailure) { watched ->
                 when (watched) {
                     is WatchEvent.Snapshot -> {
                         registered.keys.retainAll(watched.items.map { it.key }.toSet())
@@ -240,6 +239,9 @@
         }
     }
 
+    private fun logFailure(cause: Exception) =
+        log.error(cause) { "following the registrations of retainers failed; all of them are read again" }
+
     private companion object {
         /**
          * Far above the usual response time. A retainer that does not respond for longer is replaced if another one is
--- a/retainer/src/main/kotlin/sycamore/retainer/RetainerDaemon.kt
+++ b/retainer/src/main/kotlin/sycamore/retainer/RetainerDaemon.kt
@@ -1,6 +1,8 @@
 package sycamore.retainer
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import java.nio.file.Path
+import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
@@ -21,18 +23,15 @@
 import sycamore.model.HostName
 import sycamore.platform.HostSettings
 import sycamore.platform.Retirements
-import sycamore.services.Backoff
 import sycamore.services.KeyValue
 import sycamore.services.ReadResult
 import sycamore.services.Revision
 import sycamore.services.WatchEvent
 import sycamore.services.WriteResult
-import sycamore.services.watch
+import sycamore.services.follow
 import sycamore.turns.HomeKeys
 import sycamore.turns.Retainer
 import sycamore.turns.RetainerKeys
-import java.nio.file.Path
-import kotlin.time.Duration.Companion.milliseconds
 
 private val log = KotlinLogging.logger {}
 
@@ -110,7 +109,7 @@
 
     /** Watches for the order to retire this host, and then empties its disk, until cancelled. */
     suspend fun followRetirements() {
-        keyValue.watch(Retirements.orderKey(settings.name), backoff = Backoff.shortPauses()).collect { watched ->
+        keyValue.follow(Retirements.orderKey(settings.name), ::logFailure) { watched ->
             val items =
                 when (watched) {
                     is WatchEvent.Snapshot -> watched.items
@@ -121,6 +120,9 @@
         }
     }
 
+    private fun logFailure(cause: Exception) =
+        log.error(cause) { "following the orders to retire this host failed; they are read again" }
+
     /** Waits until no records are retained here: homes change to other retainers and commit the records. */
     private suspend fun retire() {
         log.info { "retiring retainer ${self.id}: waiting until it has no records" }
--- a/services/src/main/kotlin/sycamore/services/Watch.kt
+++ b/services/src/main/kotlin/sycamore/services/Watch.kt
@@ -1,6 +1,8 @@
 package sycamore.services
 
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.flow
 import kotlin.time.Duration
@@ -73,6 +75,31 @@
         }
     }
 
+/**
+ * Passes the events of [watch] to [receive] until cancelled. If [receive] fails, [onFailure] is called, and after a
+ * pause all keys are read again: a receiver must not stop following the service because of one value in it.
+ */
+suspend fun KeyValue.follow(
+    prefix: String,
+    onFailure: (Exception) -> Unit,
+    times: WatchTimings = WatchTimings(),
+    receive: suspend (WatchEvent) -> Unit,
+): Nothing {
+    val pauses = Backoff.shortPauses()
+    while (true) {
+        try {
+            watch(prefix, times, Backoff.shortPauses()).collect {
+                receive(it)
+                pauses.reset()
+            }
+        } catch (e: Exception) {
+            currentCoroutineContext().ensureActive()
+            onFailure(e)
+        }
+        delay(pauses.next())
+    }
+}
+
 /** The changes after [start], until the service fails, its revision decreases, or all keys have to be read again. */
 private fun KeyValue.changesAfter(
     prefix: String,
