Check JSON from other writers before it is used

An entry that is not valid names no upstream, is decoded once for each of its versions, logged as entry-invalid and counted. Weights are summed as 64-bit numbers.

--- a/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.daemon.Background
+import sycamore.daemon.InvalidEntries
 import sycamore.daemon.homes.HomeList
 import sycamore.daemon.log.event
 import sycamore.forwarding.BodyTooLargeException
@@ -48,7 +49,7 @@
     private val startedAt = time.markNow()
     private val meters = CallMeters(registry)
     private val routes = RoutesInForce(keyValue)
-    private val upstreams = UpstreamDirectory(keyValue, time)
+    private val upstreams = UpstreamDirectory(keyValue, InvalidEntries("upstream", registry), time)
 
     private val background = Background()
     private val engineHosts = EngineDirectory(upstreams, routes, exchange, settings.firstPort, background, time)
@@ -211,9 +212,13 @@
         route: Route,
         head: CallerHead,
     ): ServiceName {
-        val total = route.services.sumOf { it.weight }
-        val program = head.program
-        var position = if (program == null) Random.nextInt(total) else Math.floorMod(program.value.hashCode(), total)
+        val total = route.services.sumOf { it.weight.toLong() }
+        val hash =
+            head.program
+                ?.value
+                ?.hashCode()
+                ?.toLong()
+        var position = if (hash == null) Random.nextLong(total) else Math.floorMod(hash, total)
         for (part in route.services) {
             if (position < part.weight) return part.service
             position -= part.weight
--- a/gateway/src/main/kotlin/sycamore/gateway/UpstreamDirectory.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/UpstreamDirectory.kt
@@ -1,10 +1,6 @@
 package sycamore.gateway
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.TimeMark
-import kotlin.time.TimeSource
 import kotlinx.collections.immutable.ImmutableMap
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toImmutableMap
@@ -12,6 +8,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import sycamore.daemon.InvalidEntries
 import sycamore.daemon.log.event
 import sycamore.decisions.upstreams.MissingRegistrations
 import sycamore.forwarding.LeavingUpstreams
@@ -25,12 +22,17 @@
 import sycamore.services.WatchEvent
 import sycamore.services.WatchTimings
 import sycamore.services.follow
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeMark
+import kotlin.time.TimeSource
 
 private val log = KotlinLogging.logger {}
 
 /** Follows the registrations of upstreams in the key-value service. */
 class UpstreamDirectory(
     private val keyValue: KeyValue,
+    private val invalid: InvalidEntries,
     private val time: TimeSource = TimeSource.Monotonic,
 ) {
     /** The registered upstreams, indexed for lookups by calls. */
@@ -84,13 +86,15 @@
     suspend fun run(scope: CoroutineScope) {
         keyValue.follow(StoreKeys.UPSTREAMS, ::logFailure, WatchTimings(pause = WATCH_PAUSE)) { event ->
             when (event) {
-                is WatchEvent.Snapshot -> replace(scope, event.items.mapNotNull(UpstreamEntries::decode))
+                is WatchEvent.Snapshot -> replace(scope, event.items.mapNotNull(::decode))
                 is WatchEvent.Changes -> applyChanges(scope, event.items)
                 is WatchEvent.Unreachable -> recordUnreachable(event.reason)
             }
         }
     }
 
+    private fun decode(item: Item): ListedUpstream? = invalid.decode(item, UpstreamEntries::decode)
+
     private fun logFailure(cause: Exception) =
         log.error(cause) { "following the registrations of upstreams failed; all of them are read again" }
 
@@ -126,7 +130,7 @@
         items: List<Item>,
     ) {
         val changed = items.associateBy { UpstreamId(it.key.removePrefix(StoreKeys.UPSTREAMS)) }
-        val present = changed.mapNotNull { (id, item) -> UpstreamEntries.decode(item)?.let { id to it } }.toMap()
+        val present = changed.mapNotNull { (id, item) -> decode(item)?.let { id to it } }.toMap()
         val missing = listed.filterKeys { it in changed && it !in present }
         // A registration that cannot be decoded was overwritten, so it has not lapsed.
         val kept = keepLapsed(scope, missing.filterKeys { changed.getValue(it).value == null })
--- a/gateway/src/test/kotlin/sycamore/gateway/AllHostsStartTogetherTest.kt
+++ b/gateway/src/test/kotlin/sycamore/gateway/AllHostsStartTogetherTest.kt
@@ -1,5 +1,6 @@
 package sycamore.gateway
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.flow
@@ -8,6 +9,7 @@
 import kotlinx.coroutines.test.runTest
 import kotlinx.coroutines.test.testTimeSource
 import sycamore.daemon.Background
+import sycamore.daemon.InvalidEntries
 import sycamore.links.GateStatus
 import sycamore.links.HomeEndpoint
 import sycamore.links.LinkException
@@ -64,7 +66,7 @@
         }
         val background = Background()
         val routes = RoutesInForce(store)
-        val upstreams = UpstreamDirectory(store, testTimeSource)
+        val upstreams = UpstreamDirectory(store, InvalidEntries("upstream", SimpleMeterRegistry()), testTimeSource)
         val failure = testTimeSource.markNow()
         val engines =
             EngineDirectory(upstreams, routes, exchange(failure, awaitAnswer), 1, background, testTimeSource)
--- a/gateway/src/test/kotlin/sycamore/gateway/UpstreamDirectoryTest.kt
+++ b/gateway/src/test/kotlin/sycamore/gateway/UpstreamDirectoryTest.kt
@@ -1,9 +1,11 @@
 package sycamore.gateway
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.runTest
 import kotlinx.coroutines.test.testTimeSource
+import sycamore.daemon.InvalidEntries
 import sycamore.model.Address
 import sycamore.model.ServiceName
 import sycamore.platform.SampleDocuments
@@ -34,7 +36,8 @@
         runTest {
             val store = KeyValueStore(testTimeSource)
             val counted = keyValueClient(store) { time = testTimeSource }
-            val directory = UpstreamDirectory(counted, testTimeSource)
+            val directory =
+                UpstreamDirectory(counted, InvalidEntries("upstream", SimpleMeterRegistry()), testTimeSource)
             backgroundScope.launch { directory.run(backgroundScope) }
             delay(1.seconds)
             val before = counted.counts.count(CallKind.WATCH)
@@ -68,7 +71,7 @@
     fun `upstreams whose registrations lapse during an open watch are used until they register again`() =
         runTest {
             val store = KeyValueStore(testTimeSource)
-            val directory = UpstreamDirectory(store, testTimeSource)
+            val directory = UpstreamDirectory(store, InvalidEntries("upstream", SimpleMeterRegistry()), testTimeSource)
             repeat(6) { register(store, it) }
             backgroundScope.launch { directory.run(backgroundScope) }
             delay(5.seconds)
@@ -87,7 +90,7 @@
     fun `an upstream whose registration alone is removed gets no further calls, nor does one that was leaving`() =
         runTest {
             val store = KeyValueStore(testTimeSource)
-            val directory = UpstreamDirectory(store, testTimeSource)
+            val directory = UpstreamDirectory(store, InvalidEntries("upstream", SimpleMeterRegistry()), testTimeSource)
             repeat(6) { register(store, it, state = if (it < 3) "draining" else "ready") }
             backgroundScope.launch { directory.run(backgroundScope) }
             delay(5.seconds)
--- a/model/src/main/kotlin/sycamore/model/Names.kt
+++ b/model/src/main/kotlin/sycamore/model/Names.kt
@@ -67,12 +67,17 @@
     companion object {
         private val ports = 1..65_535
 
+        /** An IP address or a host name. Anything else would fail, or be misread, where the address is used. */
+        private val ips = Regex("[0-9A-Za-z._:\\[\\]-]{1,253}")
+
+        /** Whether [address] has a port and an IP address, or a host name, that connections can be opened to. */
+        fun isValid(address: Address): Boolean = address.port in ports && ips.matches(address.ip)
+
         /** Parses `ip:port`, or returns null when [text] has another form. */
         fun parse(text: String): Address? {
             val ip = text.substringBeforeLast(':', "")
             val port = text.substringAfterLast(':').toIntOrNull()
-            if (ip.isEmpty() || port == null || port !in ports) return null
-            return Address(ip, port)
+            return port?.let { Address(ip, it) }?.takeIf(::isValid)
         }
     }
 }
