Ignore registrations of homes and retainers that are not valid

One value that could not be decoded among the registrations of homes or retainers stopped each reader of the list. A retainer ended at its start. A home never finished looking for its former homes, so that its directory was never complete, and did not take over their programs: turns that continued from them were refused as unknown. From reading the code: an entry of one home under the key of another replaced the first one's entry, and an entry with a successor but no address failed each takeover that met it.

The decoders return a typed result, and check that the entry belongs to its key and that its addresses can be used. All readers leave out what is not valid.

--- a/daemon/src/main/kotlin/sycamore/daemon/homes/HomeList.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/homes/HomeList.kt
@@ -7,7 +7,7 @@
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
-import kotlinx.serialization.SerializationException
+import sycamore.daemon.InvalidEntries
 import sycamore.links.HomeEndpoint
 import sycamore.model.HomeId
 import sycamore.services.Item
@@ -24,6 +24,7 @@
 /** A local copy of the registrations of homes, kept up to date from the key-value service. */
 class HomeList(
     private val keys: KeyValue,
+    private val invalid: InvalidEntries,
 ) {
     private var entries: PersistentMap<HomeId, HomeEntry> = persistentMapOf()
     private var revision = Revision.ABSENT
@@ -73,9 +74,6 @@
         }
     }
 
-    private fun logFailure(cause: Exception) =
-        log.error(cause) { "following the registrations of homes failed; all of them are read again" }
-
     @Synchronized
     private fun replaceAll(read: WatchEvent.Snapshot) {
         entries = decodeAll(read.items)
@@ -104,11 +102,8 @@
     private fun decodeAll(items: List<Item>): PersistentMap<HomeId, HomeEntry> =
         items.mapNotNull(::decode).associateBy { it.home }.toPersistentMap()
 
-    private fun decode(item: Item): HomeEntry? =
-        try {
-            item.value?.let(HomeKeys::decode)
-        } catch (e: SerializationException) {
-            log.warn(e) { "cannot decode the registration of the home at ${item.key}" }
-            null
-        }
+    private fun decode(item: Item): HomeEntry? = invalid.decode(item) { HomeKeys.decode(it.key, it.value!!) }
+
+    private fun logFailure(cause: Exception) =
+        log.error(cause) { "following the registrations of homes failed; all of them are read again" }
 }
--- a/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
@@ -53,7 +53,7 @@
 
     private val background = Background()
     private val engineHosts = EngineDirectory(upstreams, routes, exchange, settings.firstPort, background, time)
-    private val homeList = HomeList(keyValue)
+    private val homeList = HomeList(keyValue, InvalidEntries("home", registry))
     private val homes = ProgramHomes(settings.place.name, engineHosts, homeList, exchange, background, time)
     private val plainCalls = PlainCalls(upstreams, UpstreamLoads(settings.place.name, time), callUpstream)
     private val selector = EngineSelector(settings.place, settings.places, engineHosts)
--- a/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
@@ -17,7 +17,9 @@
 import kotlinx.coroutines.flow.map
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import sycamore.daemon.InvalidEntries
 import sycamore.daemon.homes.HomeList
+import sycamore.daemon.homes.homeEntry
 import sycamore.daemon.log.event
 import sycamore.decisions.turns.Distance
 import sycamore.forwarding.CallUpstream
@@ -82,6 +84,7 @@
     private val retainers =
         RetainerDirectory(
             keys,
+            InvalidEntries("retainer", registry),
             settings.name,
             copies,
             ::distance,
@@ -91,7 +94,7 @@
             isActive = { home.journal.hasUncommitted },
             onChange = { home.journal.onRetainersChanged() },
         )
-    private val homes = HomeList(keys)
+    private val homes = HomeList(keys, InvalidEntries("home", registry))
     private val takeovers = HomeTakeovers(keys, exchange, copies, scope, meters, time) { home }
     private val spent = SpentPrograms(keys, scope)
     private val runningTurns = AtomicInteger()
@@ -246,7 +249,7 @@
     private suspend fun otherHomes(current: TurnHome): List<HomeEntry> {
         val read = keys.list(HomeKeys.PREFIX) as? ReadResult.Found ?: return emptyList()
         return read.value
-            .mapNotNull { it.value?.let(HomeKeys::decode) }
+            .mapNotNull { it.homeEntry() }
             .filter { it.successor == null && it.home != current.id && it.home.host != settings.name }
             .sortedBy { if (it.home.place == settings.place.name) 0 else 1 }
     }
--- a/homes/src/main/kotlin/sycamore/homes/HomeJournal.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeJournal.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.flow.asStateFlow
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.withTimeoutOrNull
+import sycamore.daemon.homes.homeEntry
 import sycamore.model.HomeId
 import sycamore.services.Backoff
 import sycamore.services.Item
@@ -170,7 +171,7 @@
 
     /** Reads the entry of this home, and ends the journal if the entry names a successor. */
     suspend fun checkTakenOver() {
-        val entry = (keys.get(HomeKeys.key(home)) as? ReadResult.Found)?.value?.value?.let(HomeKeys::decode)
+        val entry = (keys.get(HomeKeys.key(home)) as? ReadResult.Found)?.value?.homeEntry()
         entry?.successor?.let(::markEnded)
     }
 
--- a/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.flow.firstOrNull
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import sycamore.daemon.homes.homeEntry
 import sycamore.daemon.log.event
 import sycamore.daemon.log.warning
 import sycamore.links.Declined
@@ -111,7 +112,7 @@
     }
 
     private suspend fun entries(): List<HomeEntry>? =
-        (keys.list(HomeKeys.PREFIX) as? ReadResult.Found)?.value?.mapNotNull { it.value?.let(HomeKeys::decode) }
+        (keys.list(HomeKeys.PREFIX) as? ReadResult.Found)?.value?.mapNotNull { it.homeEntry() }
 
     private suspend fun attemptTakeover(request: TakeOverHome): Message {
         val lost = request.lost.home
@@ -212,7 +213,7 @@
         }
     }
 
-    private fun Item.successorEntry(): HomeEntry? = value?.let(HomeKeys::decode)?.takeIf { it.successor != null }
+    private fun Item.successorEntry(): HomeEntry? = homeEntry()?.takeIf { it.successor != null }
 
     /** Retries until the programs are adopted, since a home that has been claimed gets no other successor. */
     private suspend fun recoverWithRetries(
--- a/homes/src/main/kotlin/sycamore/homes/RetainerDirectory.kt
+++ b/homes/src/main/kotlin/sycamore/homes/RetainerDirectory.kt
@@ -1,12 +1,6 @@
 package sycamore.homes
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import java.util.concurrent.ConcurrentHashMap
-import kotlin.time.ComparableTimeMark
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
-import kotlin.time.TimeSource
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.coroutineScope
@@ -14,7 +8,7 @@
 import kotlinx.coroutines.flow.firstOrNull
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
-import kotlinx.serialization.SerializationException
+import sycamore.daemon.InvalidEntries
 import sycamore.decisions.turns.Distance
 import sycamore.links.CheckRetainer
 import sycamore.links.Declined
@@ -30,6 +24,12 @@
 import sycamore.turns.Retainer
 import sycamore.turns.RetainerId
 import sycamore.turns.RetainerKeys
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 
 private val log = KotlinLogging.logger {}
 
@@ -45,6 +45,7 @@
  */
 internal class RetainerDirectory(
     private val keys: KeyValue,
+    private val invalid: InvalidEntries,
     private val host: HostName,
     private val copies: RecordCopies,
     private val distance: (PlaceName) -> Distance,
@@ -226,16 +227,13 @@
         }
     }
 
+    /** Applies a registration. One that is not valid any more leaves the retainer as it was registered before. */
     private fun applyRegistration(item: Item) {
-        val value = item.value
-        if (value == null) {
+        val retainer = invalid.decode(item) { RetainerKeys.decode(it.key, it.value!!) }
+        if (retainer != null) {
+            registered[item.key] = retainer
+        } else if (item.value == null) {
             registered.remove(item.key)
-            return
-        }
-        try {
-            registered[item.key] = RetainerKeys.decode(value)
-        } catch (e: SerializationException) {
-            log.warn(e) { "the registration of retainer ${item.key} cannot be decoded" }
         }
     }
 
--- a/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import kotlinx.coroutines.withTimeoutOrNull
+import sycamore.daemon.homes.homeEntry
 import sycamore.homes.HomeFixture.Companion.address
 import sycamore.homes.HomeFixture.Companion.outcome
 import sycamore.links.Declined
@@ -203,7 +204,7 @@
             }
             for (home in lost) {
                 val item = (fixture.keys.get(HomeKeys.key(home.home)) as ReadResult.Found).value!!
-                assertEquals(home.home.host, HomeKeys.decode(item.value!!).successor?.host)
+                assertEquals(home.home.host, item.homeEntry()?.successor?.host)
             }
         }
 
--- a/homes/src/test/kotlin/sycamore/homes/HomeModelTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeModelTest.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.runTest
 import kotlinx.coroutines.withTimeoutOrNull
+import sycamore.daemon.homes.homeEntry
 import sycamore.homes.HomeFixture.Companion.address
 import sycamore.homes.HomeFixture.Companion.outcome
 import sycamore.links.FindTurn
@@ -188,7 +189,7 @@
         private suspend fun serving(): List<HomeEndpoint>? {
             val entries = (fixture.keys.list(HomeKeys.PREFIX) as? ReadResult.Found ?: return null).value
             return entries
-                .map { HomeKeys.decode(it.value!!) }
+                .map { it.homeEntry()!! }
                 .filter { it.successor == null }
                 .map { HomeEndpoint(it.home, it.address) }
         }
--- a/homes/src/test/kotlin/sycamore/homes/ProgramDirectoryModelTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/ProgramDirectoryModelTest.kt
@@ -1,5 +1,6 @@
 package sycamore.homes
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
@@ -15,6 +16,7 @@
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import kotlinx.coroutines.test.testTimeSource
+import sycamore.daemon.InvalidEntries
 import sycamore.daemon.homes.HomeList
 import sycamore.decisions.programs.ProgramPartitions
 import sycamore.links.ClaimPartitions
@@ -127,7 +129,7 @@
         val id = HomeId(PlaceName("p"), HostName(host), Incarnation("i$number"))
         val at = HomeEndpoint(id, Address("10.${number / 200}.0.${number % 200}", 1))
         private val keys = run.storeSeenBy(this)
-        private val list = HomeList(keys)
+        private val list = HomeList(keys, InvalidEntries("home", SimpleMeterRegistry()))
         val table = TurnTable(run.time)
         val registrations = ProgramRegistrations(at, list, table)
 
--- a/retainer/src/main/kotlin/sycamore/retainer/RetainerDaemon.kt
+++ b/retainer/src/main/kotlin/sycamore/retainer/RetainerDaemon.kt
@@ -1,8 +1,6 @@
 package sycamore.retainer
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import java.nio.file.Path
-import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
@@ -10,6 +8,7 @@
 import kotlinx.coroutines.flow.flowOf
 import kotlinx.coroutines.launch
 import sycamore.daemon.Threads
+import sycamore.daemon.homes.homeEntry
 import sycamore.forwarding.PlatformDaemon
 import sycamore.links.CheckRetainer
 import sycamore.links.Declined
@@ -21,6 +20,7 @@
 import sycamore.links.Message
 import sycamore.links.Unsupported
 import sycamore.model.HostName
+import sycamore.model.validOrNull
 import sycamore.platform.HostSettings
 import sycamore.platform.Retirements
 import sycamore.services.KeyValue
@@ -32,6 +32,8 @@
 import sycamore.turns.HomeKeys
 import sycamore.turns.Retainer
 import sycamore.turns.RetainerKeys
+import java.nio.file.Path
+import kotlin.time.Duration.Companion.milliseconds
 
 private val log = KotlinLogging.logger {}
 
@@ -89,7 +91,7 @@
         val read = keyValue.list(RetainerKeys.PREFIX) as? ReadResult.Found ?: return
         val previous =
             read.value.filter { item ->
-                val retainer = item.value?.let(RetainerKeys::decode)
+                val retainer = item.value?.let { RetainerKeys.decode(item.key, it).validOrNull() }
                 retainer != null && retainer.host == self.host && retainer.id != self.id
             }
         if (previous.isNotEmpty()) keyValue.remove(previous.map { it.key })
@@ -142,7 +144,7 @@
         val read = keyValue.list(HomeKeys.PREFIX) as? ReadResult.Found ?: return
         val merged =
             read.value
-                .mapNotNull { it.value?.let(HomeKeys::decode) }
+                .mapNotNull { it.homeEntry() }
                 .filter { it.isMerged }
                 .map { it.home }
         folder.homesWithRecords.filter { it in merged }.forEach { folder.apply(HomeDropped(it)) }
--- a/turns/src/main/kotlin/sycamore/turns/StoreRecords.kt
+++ b/turns/src/main/kotlin/sycamore/turns/StoreRecords.kt
@@ -1,13 +1,40 @@
 package sycamore.turns
 
+import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 import sycamore.model.Address
+import sycamore.model.Decoded
 import sycamore.model.HomeId
 import sycamore.routing.ProgramName
 
 private val json = Json { ignoreUnknownKeys = true }
 
+private const val MAX_ENTRY_BYTES = 64 * 1024
+
+/** Decodes [value]; [check] returns null for an entry that is not valid at its key. */
+private fun <T : Any> decode(
+    serializer: KSerializer<T>,
+    value: ByteArray,
+    check: (T) -> T?,
+): Decoded<T> {
+    if (value.size > MAX_ENTRY_BYTES) {
+        return Decoded.Invalid("expected at most $MAX_ENTRY_BYTES bytes, found ${value.size}")
+    }
+    return try {
+        val entry = check(json.decodeFromString(serializer, value.decodeToString()))
+        if (entry ==
+            null
+        ) {
+            Decoded.Invalid("the entry does not fit its key, or has an invalid address")
+        } else {
+            Decoded.Valid(entry)
+        }
+    } catch (e: IllegalArgumentException) {
+        Decoded.Invalid("the entry cannot be decoded: ${e.message}")
+    }
+}
+
 /** Keys and values of the registrations of retainers in the key-value service. */
 object RetainerKeys {
     /** Key prefix, followed by the id of the retainer. */
@@ -19,8 +46,12 @@
     /** The value of [retainer]. */
     fun encode(retainer: Retainer): ByteArray = json.encodeToString(Retainer.serializer(), retainer).encodeToByteArray()
 
-    /** The retainer that [value] registers. */
-    fun decode(value: ByteArray): Retainer = json.decodeFromString(Retainer.serializer(), value.decodeToString())
+    /** The retainer that [value] registers at [key]. */
+    fun decode(
+        key: String,
+        value: ByteArray,
+    ): Decoded<Retainer> =
+        decode(Retainer.serializer(), value) { it.takeIf { key == key(it.id) && Address.isValid(it.address) } }
 }
 
 /**
@@ -51,8 +82,16 @@
     /** The value of [entry]. */
     fun encode(entry: HomeEntry): ByteArray = json.encodeToString(HomeEntry.serializer(), entry).encodeToByteArray()
 
-    /** The entry that [value] holds. */
-    fun decode(value: ByteArray): HomeEntry = json.decodeFromString(HomeEntry.serializer(), value.decodeToString())
+    /** The entry that [value] holds at [key]. */
+    fun decode(
+        key: String,
+        value: ByteArray,
+    ): Decoded<HomeEntry> = decode(HomeEntry.serializer(), value) { it.takeIf { key == key(it.home) && isValid(it) } }
+
+    private fun isValid(entry: HomeEntry): Boolean =
+        Address.isValid(entry.address) &&
+            (entry.successor == null) == (entry.successorAddress == null) &&
+            entry.successorAddress?.let(Address::isValid) != false
 }
 
 /** Keys of programs that have spent their budgets, in the key-value service. */
