--- a/homes/src/main/kotlin/sycamore/homes/HomeJournal.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeJournal.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.daemon.homes.homeEntry
 import sycamore.model.HomeId
+import sycamore.model.validOrNull
 import sycamore.services.Backoff
 import sycamore.services.Item
 import sycamore.services.KeyValue
@@ -305,14 +306,18 @@
      */
     private suspend fun delayRetry() = delay(if (isUrgent) URGENT_RETRY_DELAY else backoff.next())
 
-    /** Returns whether [item] contains [segment]. If not, it is the seal of a successor, and the journal ends. */
+    /**
+     * Returns whether [item] contains [segment]. If not, it is the seal of a successor, or nothing that can be decoded;
+     * the journal ends.
+     */
     private fun isOwn(
         item: Item,
         segment: LogSegment,
     ): Boolean {
-        val found = item.value?.let(LogSegments::decode) ?: return false
-        if (found.id == segment.id) return true
-        markEnded(found.sealedBy ?: found.home)
+        val value = item.value ?: return false
+        val found = LogSegments.decode(value).validOrNull()
+        if (found?.id == segment.id) return true
+        markEnded(found?.sealedBy ?: home)
         return false
     }
 
--- a/homes/src/main/kotlin/sycamore/homes/SealedLog.kt
+++ b/homes/src/main/kotlin/sycamore/homes/SealedLog.kt
@@ -2,7 +2,9 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import sycamore.daemon.log.warning
+import sycamore.model.Decoded
 import sycamore.model.HomeId
+import sycamore.model.validOrNull
 import sycamore.services.Item
 import sycamore.services.KeyValue
 import sycamore.services.ReadResult
@@ -99,7 +101,15 @@
                 }
             }
         val items = read.value.filter { it.value != null }
-        return StoredLog(items, items.map { LogSegments.decode(it.value!!) })
+        val segments = items.map { LogSegments.decode(it.value!!) }
+        val invalid = segments.firstNotNullOfOrNull { it as? Decoded.Invalid }
+        // Without the segment, turns that were acknowledged would be unknown.
+        if (invalid !=
+            null
+        ) {
+            return null.also { log.warning("log-not-read", "home" to lost, "detail" to invalid.reason) }
+        }
+        return StoredLog(items, segments.mapNotNull { it.validOrNull() })
     }
 
     private companion object {
--- a/turns/src/main/kotlin/sycamore/turns/LogSegment.kt
+++ b/turns/src/main/kotlin/sycamore/turns/LogSegment.kt
@@ -5,11 +5,13 @@
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
 import sycamore.model.Address
+import sycamore.model.Decoded
 import sycamore.model.HomeId
 import sycamore.model.HostName
 import sycamore.model.PlaceName
 import java.io.ByteArrayInputStream
 import java.io.ByteArrayOutputStream
+import java.io.IOException
 import java.util.zip.Deflater
 import java.util.zip.DeflaterOutputStream
 import java.util.zip.InflaterInputStream
@@ -99,7 +101,18 @@
         return bytes.toByteArray()
     }
 
+    /** Maximum size of a segment before compression, several times that of the largest one. */
+    private const val MAX_SEGMENT_BYTES = 32 * 1024 * 1024
+
     /** The segment that [value] holds. */
-    fun decode(value: ByteArray): LogSegment =
-        InflaterInputStream(ByteArrayInputStream(value)).use { cbor.decodeFromByteArray(it.readBytes()) }
+    fun decode(value: ByteArray): Decoded<LogSegment> =
+        try {
+            val bytes = InflaterInputStream(ByteArrayInputStream(value)).use { it.readNBytes(MAX_SEGMENT_BYTES) }
+            Decoded.Valid(cbor.decodeFromByteArray(bytes))
+        } catch (e: IOException) {
+            Decoded.Invalid("the segment cannot be decompressed: ${e.message}")
+        } catch (e: RuntimeException) {
+            // The CBOR library reports malformed input by various exceptions.
+            Decoded.Invalid("the segment cannot be decoded: ${e.message}")
+        }
 }
