--- a/daemon/src/main/kotlin/sycamore/daemon/homes/HomeList.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/homes/HomeList.kt
@@ -7,16 +7,15 @@
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
-import kotlinx.serialization.SerializationException
+import sycamore.daemon.InvalidEntries
 import sycamore.links.HomeEndpoint
 import sycamore.model.HomeId
-import sycamore.services.Backoff
 import sycamore.services.Item
 import sycamore.services.KeyValue
 import sycamore.services.ReadResult
 import sycamore.services.Revision
 import sycamore.services.WatchEvent
-import sycamore.services.watch
+import sycamore.services.follow
 import sycamore.turns.HomeEntry
 import sycamore.turns.HomeKeys
 
@@ -25,6 +24,7 @@
 /** A local copy of the registrations of homes, kept up to date from the key-value service. */
 class HomeList(
     private val keys: KeyValue,
+    private val invalid: InvalidEntries,
 ) {
     private var entries: PersistentMap<HomeId, HomeEntry> = persistentMapOf()
     private var revision = Revision.ABSENT
@@ -62,7 +62,7 @@
 
     /** Watches the registrations until cancelled. */
     suspend fun run() {
-        keys.watch(HomeKeys.PREFIX, backoff = Backoff.shortPauses()).collect { watched ->
+        keys.follow(HomeKeys.PREFIX, ::logFailure) { watched ->
             when (watched) {
                 is WatchEvent.Snapshot -> {
                     replaceAll(watched)
@@ -102,11 +102,8 @@
     private fun decodeAll(items: List<Item>): PersistentMap<HomeId, HomeEntry> =
         items.mapNotNull(::decode).associateBy { it.home }.toPersistentMap()
 
-    private fun decode(item: Item): HomeEntry? =
-        try {
-            item.value?.let(HomeKeys::decode)
-        } catch (e: SerializationException) {
-            log.warn(e) { "cannot decode the registration of the home at ${item.key}" }
-            null
-        }
+    private fun decode(item: Item): HomeEntry? = invalid.decode(item) { HomeKeys.decode(it.key, it.value!!) }
+
+    private fun logFailure(cause: Exception) =
+        log.error(cause) { "following the registrations of homes failed; all of them are read again" }
 }
--- a/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.FlowCollector
@@ -16,7 +17,9 @@
 import kotlinx.coroutines.flow.map
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import sycamore.daemon.InvalidEntries
 import sycamore.daemon.homes.HomeList
+import sycamore.daemon.homes.homeEntry
 import sycamore.daemon.log.event
 import sycamore.decisions.turns.Distance
 import sycamore.forwarding.CallUpstream
@@ -81,6 +84,7 @@
     private val retainers =
         RetainerDirectory(
             keys,
+            InvalidEntries("retainer", registry),
             settings.name,
             copies,
             ::distance,
@@ -90,7 +94,7 @@
             isActive = { home.journal.hasUncommitted },
             onChange = { home.journal.onRetainersChanged() },
         )
-    private val homes = HomeList(keys)
+    private val homes = HomeList(keys, InvalidEntries("home", registry))
     private val takeovers = HomeTakeovers(keys, exchange, copies, scope, meters, time) { home }
     private val spent = SpentPrograms(keys, scope)
     private val runningTurns = AtomicInteger()
@@ -121,13 +125,18 @@
             else -> flowOf(Unsupported)
         }
 
-    /** Runs the background work of the daemon until cancelled. */
-    suspend fun run() {
+    /** Runs the background work of the daemon until cancelled. Fails if the registrations can no longer be followed. */
+    suspend fun run() =
+        coroutineScope {
+            val followers = listOf(launch { retainers.run() }, launch { homes.run() })
+            runHomes()
+            followers.forEach { it.cancel() }
+        }
+
+    private suspend fun runHomes() {
         meters.registerGauge(TurnMeters.RUNNING) { gate.running }
         meters.registerGauge(TurnMeters.WAITING) { gate.waiting }
         meters.registerGauge(TurnMeters.PROGRAMS) { home.table.size }
-        scope.launch { retainers.run() }
-        scope.launch { homes.run() }
         while (!isLeaving) {
             val current = home
             val formerTakeovers = scope.launch { takeovers.takeOverFormerHomes(current.id) }
@@ -240,7 +249,7 @@
     private suspend fun otherHomes(current: TurnHome): List<HomeEntry> {
         val read = keys.list(HomeKeys.PREFIX) as? ReadResult.Found ?: return emptyList()
         return read.value
-            .mapNotNull { it.value?.let(HomeKeys::decode) }
+            .mapNotNull { it.homeEntry() }
             .filter { it.successor == null && it.home != current.id && it.home.host != settings.name }
             .sortedBy { if (it.home.place == settings.place.name) 0 else 1 }
     }
--- a/homes/src/main/kotlin/sycamore/homes/HomeJournal.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeJournal.kt
@@ -9,7 +9,9 @@
 import kotlinx.coroutines.flow.asStateFlow
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.withTimeoutOrNull
+import sycamore.daemon.homes.homeEntry
 import sycamore.model.HomeId
+import sycamore.model.validOrNull
 import sycamore.services.Backoff
 import sycamore.services.Item
 import sycamore.services.KeyValue
@@ -170,7 +172,7 @@
 
     /** Reads the entry of this home, and ends the journal if the entry names a successor. */
     suspend fun checkTakenOver() {
-        val entry = (keys.get(HomeKeys.key(home)) as? ReadResult.Found)?.value?.value?.let(HomeKeys::decode)
+        val entry = (keys.get(HomeKeys.key(home)) as? ReadResult.Found)?.value?.homeEntry()
         entry?.successor?.let(::markEnded)
     }
 
@@ -304,14 +306,18 @@
      */
     private suspend fun delayRetry() = delay(if (isUrgent) URGENT_RETRY_DELAY else backoff.next())
 
-    /** Returns whether [item] contains [segment]. If not, it is the seal of a successor, and the journal ends. */
+    /**
+     * Returns whether [item] contains [segment]. If not, it is the seal of a successor, or nothing that can be decoded;
+     * the journal ends.
+     */
     private fun isOwn(
         item: Item,
         segment: LogSegment,
     ): Boolean {
-        val found = item.value?.let(LogSegments::decode) ?: return false
-        if (found.id == segment.id) return true
-        markEnded(found.sealedBy ?: found.home)
+        val value = item.value ?: return false
+        val found = LogSegments.decode(value).validOrNull()
+        if (found?.id == segment.id) return true
+        markEnded(found?.sealedBy ?: home)
         return false
     }
 
--- a/homes/src/main/kotlin/sycamore/homes/RetainerDirectory.kt
+++ b/homes/src/main/kotlin/sycamore/homes/RetainerDirectory.kt
@@ -8,7 +8,7 @@
 import kotlinx.coroutines.flow.firstOrNull
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
-import kotlinx.serialization.SerializationException
+import sycamore.daemon.InvalidEntries
 import sycamore.decisions.turns.Distance
 import sycamore.links.CheckRetainer
 import sycamore.links.Declined
@@ -17,11 +17,10 @@
 import sycamore.links.LinkException
 import sycamore.model.HostName
 import sycamore.model.PlaceName
-import sycamore.services.Backoff
 import sycamore.services.Item
 import sycamore.services.KeyValue
 import sycamore.services.WatchEvent
-import sycamore.services.watch
+import sycamore.services.follow
 import sycamore.turns.Retainer
 import sycamore.turns.RetainerId
 import sycamore.turns.RetainerKeys
@@ -46,6 +45,7 @@
  */
 internal class RetainerDirectory(
     private val keys: KeyValue,
+    private val invalid: InvalidEntries,
     private val host: HostName,
     private val copies: RecordCopies,
     private val distance: (PlaceName) -> Distance,
@@ -160,7 +160,7 @@
     suspend fun run() {
         coroutineScope {
             launch { probePeriodically() }
-            keys.watch(RetainerKeys.PREFIX, backoff = Backoff.shortPauses()).collect { watched ->
+            keys.follow(RetainerKeys.PREFIX, ::logFailure) { watched ->
                 when (watched) {
                     is WatchEvent.Snapshot -> {
                         registered.keys.retainAll(watched.items.map { it.key }.toSet())
@@ -227,19 +227,19 @@
         }
     }
 
+    /** Applies a registration. One that is not valid any more leaves the retainer as it was registered before. */
     private fun applyRegistration(item: Item) {
-        val value = item.value
-        if (value == null) {
+        val retainer = invalid.decode(item) { RetainerKeys.decode(it.key, it.value!!) }
+        if (retainer != null) {
+            registered[item.key] = retainer
+        } else if (item.value == null) {
             registered.remove(item.key)
-            return
-        }
-        try {
-            registered[item.key] = RetainerKeys.decode(value)
-        } catch (e: SerializationException) {
-            log.warn(e) { "the registration of retainer ${item.key} cannot be decoded" }
         }
     }
 
+    private fun logFailure(cause: Exception) =
+        log.error(cause) { "following the registrations of retainers failed; all of them are read again" }
+
     private companion object {
         /**
          * Far above the usual response time. A retainer that does not respond for longer is replaced if another one is
--- a/retainer/src/main/kotlin/sycamore/retainer/RetainerDaemon.kt
+++ b/retainer/src/main/kotlin/sycamore/retainer/RetainerDaemon.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.flow.flowOf
 import kotlinx.coroutines.launch
 import sycamore.daemon.Threads
+import sycamore.daemon.homes.homeEntry
 import sycamore.forwarding.PlatformDaemon
 import sycamore.links.CheckRetainer
 import sycamore.links.Declined
@@ -19,15 +20,15 @@
 import sycamore.links.Message
 import sycamore.links.Unsupported
 import sycamore.model.HostName
+import sycamore.model.validOrNull
 import sycamore.platform.HostSettings
 import sycamore.platform.Retirements
-import sycamore.services.Backoff
 import sycamore.services.KeyValue
 import sycamore.services.ReadResult
 import sycamore.services.Revision
 import sycamore.services.WatchEvent
 import sycamore.services.WriteResult
-import sycamore.services.watch
+import sycamore.services.follow
 import sycamore.turns.HomeKeys
 import sycamore.turns.Retainer
 import sycamore.turns.RetainerKeys
@@ -90,7 +91,7 @@
         val read = keyValue.list(RetainerKeys.PREFIX) as? ReadResult.Found ?: return
         val previous =
             read.value.filter { item ->
-                val retainer = item.value?.let(RetainerKeys::decode)
+                val retainer = item.value?.let { RetainerKeys.decode(item.key, it).validOrNull() }
                 retainer != null && retainer.host == self.host && retainer.id != self.id
             }
         if (previous.isNotEmpty()) keyValue.remove(previous.map { it.key })
@@ -110,7 +111,7 @@
 
     /** Watches for the order to retire this host, and then empties its disk, until cancelled. */
     suspend fun followRetirements() {
-        keyValue.watch(Retirements.orderKey(settings.name), backoff = Backoff.shortPauses()).collect { watched ->
+        keyValue.follow(Retirements.orderKey(settings.name), ::logFailure) { watched ->
             val items =
                 when (watched) {
                     is WatchEvent.Snapshot -> watched.items
@@ -121,6 +122,9 @@
         }
     }
 
+    private fun logFailure(cause: Exception) =
+        log.error(cause) { "following the orders to retire this host failed; they are read again" }
+
     /** Waits until no records are retained here: homes change to other retainers and commit the records. */
     private suspend fun retire() {
         log.info { "retiring retainer ${self.id}: waiting until it has no records" }
@@ -140,7 +144,7 @@
         val read = keyValue.list(HomeKeys.PREFIX) as? ReadResult.Found ?: return
         val merged =
             read.value
-                .mapNotNull { it.value?.let(HomeKeys::decode) }
+                .mapNotNull { it.homeEntry() }
                 .filter { it.isMerged }
                 .map { it.home }
         folder.homesWithRecords.filter { it in merged }.forEach { folder.apply(HomeDropped(it)) }
