Leave the state of the connection out of error messages again

Callers and log lines got the state of all objects of a connection when an upstream's answer could not be parsed: Jetty's message names the class of the connection, which is a subclass since answers are recorded. Seen in a test's 502, "HTTP protocol violation: bad response on ClientConnection@::Socket…".

--- a/forwarding/src/main/kotlin/sycamore/forwarding/UpstreamClient.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/UpstreamClient.kt
@@ -251,9 +251,12 @@
         private fun reason(failure: Throwable): String =
             when (failure) {
                 is EOFException -> "the connection was closed before the response was complete"
-                else -> failure.message?.substringBefore(" on HttpConnection") ?: failure.toString()
+                else -> failure.message?.substringBefore(CONNECTION_STATE) ?: failure.toString()
             }
 
+        /** Precedes the state of the connection in Jetty's messages. */
+        private val CONNECTION_STATE = " on ${ClientConnection::class.java.simpleName}@"
+
         /** The round trip to the farthest upstream takes 24 ms. A lost first packet is retransmitted after a second. */
         private val CONNECT_TIMEOUT = 1200.milliseconds
 
