Close a connection on which bytes came that belong to no request

What callers saw: 502 for a call that was sent on a kept connection after its upstream had written more than its answer.

Cause: Jetty's receiver discards what follows a complete response in the same read and keeps the connection; if a copy of the response is cut by the read, its rest precedes the next answer.

Evidence: `a call after the first part of a repeated refusal is answered` and `a call after bytes that belong to no answer is answered` failed with 502 for the first of 10 calls, "HTTP protocol violation: bad response". They pass now.

Fix: the connection that notices such bytes is closed: at once if no request is in progress, otherwise instead of its return to the pool. Bytes that arrive when the next request is already in progress can only be told by their id.

--- a/forwarding/src/main/kotlin/sycamore/forwarding/ClientConnection.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/ClientConnection.kt
@@ -9,10 +9,11 @@
 import kotlin.time.TimeSource
 
 /**
- * An HTTP/1.1 connection to a server that reports how much it was used.
+ * An HTTP/1.1 connection to a server that reports how much it was used. It is closed once the server has sent bytes that
+ * belong to no request, since the responses that follow on it may belong to others.
  *
- * @param onStrayBytes called once when the server has sent bytes that belong to no request: after a complete response,
- *   or while no request was in progress.
+ * @param onStrayBytes called once when the server has sent such bytes: after a complete response, or while no request
+ *   was in progress.
  */
 internal class ClientConnection(
     endPoint: EndPoint,
@@ -30,9 +31,13 @@
 
     override fun addBytesIn(count: Long) {
         super.addBytesIn(count)
-        if (httpChannel.httpExchange == null) reportStrayBytes()
+        if (httpChannel.httpExchange != null) return
+        close()
+        reportStrayBytes()
     }
 
+    override fun release() = if (hasStrayBytes.get()) close() else super.release()
+
     private fun reportStrayBytes() {
         if (hasStrayBytes.compareAndSet(false, true)) onStrayBytes(this)
     }
@@ -46,7 +51,7 @@
     ) : HttpReceiverOverHTTP(channel) {
         override fun messageComplete(): Boolean {
             val isComplete = super.messageComplete()
-            // Jetty discards these bytes.
+            // Jetty discards these bytes and keeps the connection.
             if (isComplete && !isInterim && responseBuffer.hasRemaining()) reportStrayBytes()
             return isComplete
         }
--- a/gateway/src/test/kotlin/sycamore/gateway/MisattributedAnswersTest.kt
+++ b/gateway/src/test/kotlin/sycamore/gateway/MisattributedAnswersTest.kt
@@ -42,7 +42,8 @@
     private val store = KeyValueStore()
     private val scope = CoroutineScope(Dispatchers.Default + SupervisorJob())
     private val callers = Address("127.0.0.1", ServerSocket(0).use { it.localPort })
-    private val client = UpstreamClient(SimpleMeterRegistry())
+    private val meters = SimpleMeterRegistry()
+    private val client = UpstreamClient(meters)
     private val callerClient = JettyClient()
     private val upstreams = CopyOnWriteArrayList<SocketUpstream>()
     private val runs = ConcurrentHashMap<String, AtomicInteger>()
@@ -98,6 +99,23 @@
             assertAnswered(10)
         }
 
+    /** Guards against a call that fails because the rest of a discarded copy precedes its answer. */
+    @Test
+    fun `a call after the first part of a repeated refusal is answered`() =
+        gateway(upstreams = 1, isIdempotent = false, { repeatFirstPart(refusal(503)) }) {
+            assertEquals(503, send("first").status.code)
+            assertAnswered(10)
+        }
+
+    /** Guards against a call that is sent on a connection on which its upstream wrote bytes of no answer. */
+    @Test
+    fun `a call after bytes that belong to no answer is answered`() =
+        gateway(upstreams = 1, isIdempotent = false, { writeStrayBytes() }) {
+            assertEquals(200, send("first").status.code)
+            while (meters.counter("sycamore.upstream.stray.bytes").count() < 1) Thread.sleep(POLL_MILLIS)
+            assertAnswered(10)
+        }
+
     /** Guards against an idempotent call that fails although another upstream could serve it. */
     @Test
     fun `an idempotent call that gets the answer of another call is repeated at another upstream`() =
@@ -117,7 +135,7 @@
     fun `the answer to another call is never forwarded to a caller`() =
         gateway(upstreams = 2, isIdempotent = false, { answerAs("another") }) {
             assertEquals(502, send("first").status.code)
-            assertEquals(1, upstreams.sumOf { it.requests.size })
+            assertEquals(1, requestCount)
         }
 
     /** Guards against a refusal that is believed although it may be that of an earlier call. */
@@ -125,9 +143,35 @@
     fun `a refusal that names no call is no answer to a call that must run once`() =
         gateway(upstreams = 2, isIdempotent = false, { refuseWithoutId() }) {
             assertEquals(502, send("first").status.code)
-            assertEquals(1, upstreams.sumOf { it.requests.size })
+            assertEquals(1, requestCount)
         }
 
+    /** Writes the first answer and a part of its copy at once, and the rest of the copy before the next answer. */
+    private fun repeatFirstPart(first: (SocketRequest) -> ByteArray): (SocketRequest, OutputStream) -> Unit {
+        var rest = ByteArray(0)
+        return { request, out ->
+            if (requestCount == 1) {
+                val answer = first(request)
+                rest = answer.copyOfRange(PART_BYTES, answer.size)
+                out.write(answer + answer.copyOf(PART_BYTES))
+            } else {
+                if (request.connection == 0) out.write(rest)
+                out.write(success(request))
+            }
+        }
+    }
+
+    private fun writeStrayBytes(): (SocketRequest, OutputStream) -> Unit =
+        { request, out ->
+            out.write(success(request))
+            if (requestCount == 1) {
+                Thread.sleep(RUN_MILLIS)
+                out.write("stray".encodeToByteArray())
+            }
+        }
+
+    private val requestCount: Int get() = upstreams.sumOf { it.requests.size }
+
     private fun answerAs(id: String): (SocketRequest, OutputStream) -> Unit =
         { _, out ->
             val headers = SampleDocuments.answerHeaders(listOf("X-Request-Id" to id))
@@ -237,5 +281,9 @@
     private companion object {
         const val HOST = "gateway.example"
         const val RUN_MILLIS = 50L
+        const val POLL_MILLIS = 5L
+
+        /** The length of a part of an answer that ends within its status line. */
+        const val PART_BYTES = 12
     }
 }
