Do not pass on a refusal status that does not state that the call was not run

What callers saw: 503, 429 or 408 for a call that its upstream had run.

Cause: an upstream's answer with one of these statuses, without the sign "not run", was passed on as it was. Its caller reads the status as the promise that the call has not run and will not run.

Evidence: `a refusal status without the statement that the call was not run is not passed on` failed with "expected: <502 after 1 run> but was: <503 after 1 run>"; its namesake for turns got [TurnSent, TurnBegun, TurnBytes, TurnComplete] instead of [TurnSent, TurnInterrupted]; `an idempotent call with a refusal status is repeated at another upstream` got `429 failed` in 4 of 10 calls.

Fix: such an answer counts as one of a call that may have run, on both paths: the gateway's own 502 without the upstream's signature, or a repeat of an idempotent call at another upstream.

--- a/forwarding/src/main/kotlin/sycamore/forwarding/AnswerRecord.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/AnswerRecord.kt
@@ -29,7 +29,7 @@
         val statement =
             when {
                 head.isNotRun -> NOT_RUN
-                head.status in REFUSAL_STATUSES -> UNCONFIRMED
+                head.isUnconfirmedRefusal -> UNCONFIRMED
                 else -> ANSWERED
             }
         registry.counter(ANSWERS, "names", named, "states", statement).increment()
@@ -75,9 +75,6 @@
         private const val UNCONFIRMED = "unconfirmed"
         private const val ANSWERED = "answer"
 
-        /** The statuses that callers read as a promise that their call has not run and will not run. */
-        private val REFUSAL_STATUSES = setOf(408, 421, 429, 503)
-
         /** Logs that bytes that belong to no request were received on [connection]. */
         fun logStrayBytes(connection: ClientConnection) {
             val use = connection.use
--- a/gateway/src/main/kotlin/sycamore/gateway/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/UpstreamAttempt.kt
@@ -130,6 +130,9 @@
         val response = CallHeaders.decodeResponse(event.status, event.headers)
         return when {
             response.isNotRun -> AttemptResult.NotRun("${upstream.id} answered ${response.status} and did not run it")
+            // The caller would conclude that its call has not run.
+            response.isUnconfirmedRefusal ->
+                AttemptResult.Failed("${upstream.id} answered ${response.status}, not that it did not run it")
             response.isEncoded -> AttemptResult.Failed("${upstream.id} encoded its answer")
             response.isSuccess && !response.isStamped -> AttemptResult.Failed("${upstream.id} did not sign its answer")
             else -> null
--- a/gateway/src/test/kotlin/sycamore/gateway/MisattributedAnswersTest.kt
+++ b/gateway/src/test/kotlin/sycamore/gateway/MisattributedAnswersTest.kt
@@ -181,6 +181,23 @@
     private fun refuseWithoutId(): (SocketRequest, OutputStream) -> Unit =
         { _, out -> out.write(SocketUpstream.response(503, listOf(SampleDocuments.notRunHeader), "full")) }
 
+    /** Guards against a status of an upstream that ran the call, which its caller reads as the promise that it did not. */
+    @Test
+    fun `a refusal status without the statement that the call was not run is not passed on`() =
+        gateway(upstreams = 2, isIdempotent = false, { runAndAnswer(503) }) { assertRunsOnceWithUnknownOutcome("first") }
+
+    @Test
+    fun `an idempotent call with a refusal status is repeated at another upstream`() =
+        gateway(upstreams = 2, isIdempotent = true, { if (it == 0) runAndAnswer(429) else alwaysAnswer() }) {
+            assertAnswered(10)
+        }
+
+    private fun runAndAnswer(status: Int): (SocketRequest, OutputStream) -> Unit =
+        { request, out ->
+            success(request)
+            out.write(SocketUpstream.response(status, answerHeaders(request), "failed"))
+        }
+
     private fun assertRunsOnceWithUnknownOutcome(id: String) {
         val status = send(id).status.code
         assertEquals("502 after 1 run", "$status after ${runs[id]?.get() ?: 0} run")
--- a/homes/src/main/kotlin/sycamore/homes/EngineCall.kt
+++ b/homes/src/main/kotlin/sycamore/homes/EngineCall.kt
@@ -63,6 +63,10 @@
         head = answer
         if (answer.isLeaving) onLeaving()
         if (answer.isNotRun) return
+        if (answer.isUnconfirmedRefusal) {
+            // The caller would conclude that its turn has not run.
+            throw UnusableAnswerException("the engine answered ${answer.status}, not that it did not run the turn")
+        }
         if (answer.isEncoded) throw UnusableAnswerException("the engine's answer is encoded")
         if (answer.isSuccess && !answer.isStamped) throw UnusableAnswerException("the engine's answer is not signed")
         val headers = CallHeaders.filterForCaller(event.headers).map { HeaderField(it.first, it.second) }
--- a/homes/src/test/kotlin/sycamore/homes/MisattributedEngineAnswersTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/MisattributedEngineAnswersTest.kt
@@ -68,6 +68,13 @@
             assertEquals(List(10) { "whole" }, List(10) { send("t${it + 2}").outcome() })
         }
 
+    /** Guards against an engine's status that a caller reads as the promise that its turn has not run. */
+    @Test
+    fun `a refusal status without the statement that the turn was not run is not passed on`() =
+        runBlocking {
+            assertEquals(listOf("TurnSent", "TurnInterrupted"), send("t-unstated").map { it::class.simpleName })
+        }
+
     private fun respond(
         request: SocketRequest,
         out: OutputStream,
@@ -79,6 +86,7 @@
             refusal = SocketUpstream.response(refusalStatus, headers + notRun, "full")
             return out.write(refusal)
         }
+        if (id == "t-unstated") return out.write(SocketUpstream.response(429, headers, "failed"))
         if (id == "t1") {
             out.write(refusal)
             Thread.sleep(RUN_MILLIS)
