Send a refused call to each address once

What callers saw: nothing yet; found in the search for the same cause elsewhere.

Cause: an upstream that refused a call was excluded from further sends of it by its id. If it registers under another id between two attempts, the call goes to the same address, over the same connection, under the same request id. A copy of the first refusal is then an answer that names the call, so its id no longer tells the two answers apart.

Fix: gateways exclude the addresses of upstreams that had a call, for plain calls and turns alike, also after an engine's refusal because it leaves. A request id is then sent to an address once at most.

--- a/gateway/src/main/kotlin/sycamore/gateway/EngineSelector.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/EngineSelector.kt
@@ -4,11 +4,11 @@
 import sycamore.decisions.turns.EngineLoad
 import sycamore.decisions.turns.EnginePlacement
 import sycamore.links.HomeEndpoint
+import sycamore.model.Address
 import sycamore.model.Place
 import sycamore.model.PlaceName
 import sycamore.model.RegionName
 import sycamore.model.ServiceName
-import sycamore.routing.UpstreamId
 import kotlin.random.Random
 
 /**
@@ -29,14 +29,14 @@
      */
     suspend fun chooseHome(
         service: ServiceName,
-        excluded: Set<UpstreamId>,
+        excluded: Set<Address>,
     ): HomeEndpoint? = best(service, excluded)?.let { HomeEndpoint(it.status!!.home, it.address) }
 
     /** Chooses the engine on the host of [home] if it accepts turns of [service], and otherwise the best other one. */
     suspend fun chooseEngine(
         home: HomeEndpoint,
         service: ServiceName,
-        excluded: Set<UpstreamId>,
+        excluded: Set<Address>,
     ): EngineHost? {
         val own = engineHosts.atAddress(home.address)?.takeIf { acceptsTurns(it, service, excluded) }
         return own ?: best(service, excluded)
@@ -44,7 +44,7 @@
 
     private suspend fun best(
         service: ServiceName,
-        excluded: Set<UpstreamId>,
+        excluded: Set<Address>,
     ): EngineHost? {
         val hosts = engineHosts.all.filter { acceptsTurns(it, service, excluded) }
         return bestOfSample(hosts) ?: bestOfUnresponsive(hosts)
@@ -72,8 +72,8 @@
     private fun acceptsTurns(
         host: EngineHost,
         service: ServiceName,
-        excluded: Set<UpstreamId>,
-    ): Boolean = !host.upstream.isLeaving && host.upstream.service == service && host.upstream.id !in excluded
+        excluded: Set<Address>,
+    ): Boolean = !host.upstream.isLeaving && host.upstream.service == service && host.upstream.address !in excluded
 
     private fun distance(host: EngineHost): Distance = Distance.between(place, host.upstream.place, regions)
 
--- a/gateway/src/main/kotlin/sycamore/gateway/PlainCalls.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/PlainCalls.kt
@@ -2,9 +2,9 @@
 
 import sycamore.forwarding.CallUpstream
 import sycamore.forwarding.CallerExchange
+import sycamore.model.Address
 import sycamore.routing.ListedUpstream
 import sycamore.routing.RepeatPolicy
-import sycamore.routing.UpstreamId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -19,16 +19,18 @@
         exchange: CallerExchange,
         call: AcceptedCall,
     ) {
-        val tried = HashSet<UpstreamId>()
+        // By address: an upstream may register under another id between two attempts, and two answers on one of its
+        // connections that name the same call cannot be told apart.
+        val tried = HashSet<Address>()
         var sends = 0
         var last: AttemptResult = AttemptResult.NotRun("no upstream of ${call.service} takes calls")
         var mayHaveRun = false
         while (sends < call.route.attempts && tried.size < MAX_UPSTREAMS_TRIED) {
-            val candidates = upstreams.available(call.service).filter { it.id !in tried }
+            val candidates = upstreams.available(call.service).filter { it.address !in tried }
             val upstream = loads.choose(candidates, call.head.affinityKey.takeIf { call.route.hasAffinity }) ?: break
             val left = call.timeLeft
             if (left < MIN_TIME_LEFT) break
-            tried += upstream.id
+            tried += upstream.address
             call.trace.upstream = upstream.id
             call.trace.sends++
             val mayRepeat = call.route.repeat == RepeatPolicy.IDEMPOTENT && sends + 1 < call.route.attempts
--- a/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
@@ -17,11 +17,11 @@
 import sycamore.links.TurnInterrupted
 import sycamore.links.TurnRefusal
 import sycamore.links.TurnRefused
+import sycamore.model.Address
 import sycamore.platform.CallHeaders
 import sycamore.routing.AttemptId
 import sycamore.routing.EngineProfile
 import sycamore.routing.ProgramName
-import sycamore.routing.UpstreamId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
@@ -74,7 +74,8 @@
         private val program: ProgramName,
         private val turn: AttemptId,
     ) {
-        private val excluded = HashSet<UpstreamId>()
+        /** The addresses of engines that get this turn no more. See [PlainCalls.serve] for why not their ids. */
+        private val excluded = HashSet<Address>()
         private var refusalReason = "no engine takes turns"
         private val arrivedAt = time.markNow()
 
@@ -146,7 +147,7 @@
                     if (homes.knownHome(program) == home) {
                         withTimeoutOrNull(MAX_HOLD_TIME - held) { homes.takeOver(home) } ?: delay(RETRY_DELAY)
                     } else {
-                        excluded += target.upstream.id
+                        excluded += target.upstream.address
                     }
                     false
                 }
@@ -260,10 +261,11 @@
                 TurnRefusal.NOT_NOW -> respond(GatewayError.NOT_RUN, reply.detail, reply.retryAfter ?: RETRY_AFTER)
                 TurnRefusal.TARGET_LEAVES -> {
                     upstreams.markLeaving(target.upstream)
+                    excluded += target.upstream.address
                     return SendResult.Retry(reply.detail)
                 }
                 TurnRefusal.TARGET_GONE -> {
-                    excluded += target.upstream.id
+                    excluded += target.upstream.address
                     return SendResult.Retry(reply.detail)
                 }
                 TurnRefusal.NOT_HERE -> {
--- a/gateway/src/test/kotlin/sycamore/gateway/MisattributedAnswersTest.kt
+++ b/gateway/src/test/kotlin/sycamore/gateway/MisattributedAnswersTest.kt
@@ -184,7 +184,11 @@
     /** Guards against a status of an upstream that ran the call, which its caller reads as the promise that it did not. */
     @Test
     fun `a refusal status without the statement that the call was not run is not passed on`() =
-        gateway(upstreams = 2, isIdempotent = false, { runAndAnswer(503) }) { assertRunsOnceWithUnknownOutcome("first") }
+        gateway(
+            upstreams = 2,
+            isIdempotent = false,
+            { runAndAnswer(503) },
+        ) { assertRunsOnceWithUnknownOutcome("first") }
 
     @Test
     fun `an idempotent call with a refusal status is repeated at another upstream`() =
