A turn that another host's gate may have sent is not refused as not run

What callers saw: nothing yet; found in the search for the same cause elsewhere. A turn could run at two engines.

Cause: a home that was taken over while a turn waited in the gate of another host learnt of its end when it recorded the turn's start, on the gate's report that it sends the turn. It then refused the turn as not run, and the gateway sent it to another home. The gate does not wait for the home: its report is one message of a stream, and the turn was on its way to the engine.

Evidence: `a turn that the gate of another host sends when its home has ended is not refused as not run` failed with "expected: <broke> but was: <NOT_HERE>", after the engine had received the prompt.

Fix: what counts is the gate's report, not the record of the start. HomeFixture's exchange now buffers replies, as links do; before, a home's failure kept its peer from going on, which hid this.

--- a/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
@@ -172,14 +172,9 @@
             } catch (e: LinkException) {
                 last = if (e.sent) TurnInterrupted("the gate was lost: ${e.message}") else refusalOfUnreachable(e)
             } catch (e: HomeEndedException) {
-                last =
-                    if (startNumber ==
-                        null
-                    ) {
-                        TurnRefused(TurnRefusal.NOT_HERE, e.message!!)
-                    } else {
-                        TurnInterrupted(e.message!!)
-                    }
+                // The gate of another host does not wait for this home before it sends the turn.
+                val isSent = timeToSend != null
+                last = if (isSent) TurnInterrupted(e.message!!) else TurnRefused(TurnRefusal.NOT_HERE, e.message!!)
             } catch (_: NotDurableException) {
                 last = TurnInterrupted("the turn's start could not be kept within $DURABILITY_TIMEOUT")
             } catch (e: AnswerException) {
--- a/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
@@ -314,6 +314,28 @@
             assertNotEquals(lost.home, fixture.homeAt(1).home)
         }
 
+    /** Guards against a turn that runs twice: the gate of another host sends it although its home ended meanwhile. */
+    @Test
+    fun `a turn that the gate of another host sends when its home has ended is not refused as not run`() =
+        homeTest { fixture ->
+            for (number in 1..3) fixture.startReady(number)
+            fixture.answerTime = 10.seconds
+            repeat(2) { launch { fixture.sendTurn(3, "running$it", program = "running$it") } }
+            delay(10.milliseconds)
+            val call = fixture.runTurnMessage(3, "a").copy(timeLeft = 20.seconds)
+            val turn = async { fixture.exchange(address(1), call).toList() }
+            delay(100.milliseconds)
+            val lost = fixture.homeAt(1)
+            fixture.unreachable += address(1)
+            assertIs<HomeTakenOver>(fixture.takeOver(lost, by = 2))
+            fixture.unreachable -= address(1)
+            fixture.sendTurn(1, "b", program = "q")
+            while (fixture.homeAt(1).home == lost.home) delay(10.milliseconds)
+            assertTrue("a" !in fixture.prompts)
+            assertEquals("broke", turn.await().outcome())
+            assertTrue("a" in fixture.prompts)
+        }
+
     /** Guards against a turn that runs twice: the engine got it before the home ended, so it must not be reported as not run. */
     @Test
     fun `a turn that was sent when its home ended is not refused as not run`() =
--- a/homes/src/test/kotlin/sycamore/homes/HomeFixture.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeFixture.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.buffer
 import kotlinx.coroutines.flow.emitAll
 import kotlinx.coroutines.flow.flow
 import kotlinx.coroutines.flow.flowOf
@@ -111,7 +112,8 @@
     /** Whether engines announce in their answers that they are leaving. */
     var isEngineLeaving = false
 
-    val exchange: Exchange = { to, message -> flow { emitAll(deliver(to, message)) } }
+    /** Exchanges messages as links do: the peer does not wait until a reply is handled. */
+    val exchange: Exchange = { to, message -> flow { emitAll(deliver(to, message)) }.buffer() }
 
     private suspend fun deliver(
         to: Address,
