Tests that the client writes a call once

They examine another explanation of the incident: that the HTTP client writes a call again by itself when a kept connection turns out to be closed, or reports a written one as not sent. It does neither: 50 calls to upstreams that close after each answer were received once each, and 12 calls of which some lost their connection without an answer were sent once and got 502 in exactly these cases.

--- a/gateway/src/test/kotlin/sycamore/gateway/MisattributedAnswersTest.kt
+++ b/gateway/src/test/kotlin/sycamore/gateway/MisattributedAnswersTest.kt
@@ -196,6 +196,38 @@
             assertAnswered(10)
         }
 
+    /** Guards against a client that writes a call again by itself, or reports a written one as not sent. */
+    @Test
+    fun `a call that must run once is written once although its upstream closes kept connections`() =
+        gateway(upstreams = 2, isIdempotent = false, { closeAfterEachAnswer() }) {
+            repeat(50) { send("c$it") }
+            val received = upstreams.flatMap { upstream -> upstream.requests.map { it.header("X-Request-Id") } }
+            assertEquals(received.distinct(), received)
+        }
+
+    @Test
+    fun `a call whose connection is closed without an answer is sent once`() =
+        gateway(upstreams = 2, isIdempotent = false, { closeInsteadOfSecondAnswer() }) {
+            val statuses = List(12) { send("c$it").status.code }
+            assertEquals(12, requestCount)
+            assertEquals(
+                upstreams.sumOf { upstream -> upstream.requests.count { it.index == 1 } },
+                statuses.count {
+                    it ==
+                        502
+                },
+            )
+        }
+
+    private fun closeAfterEachAnswer(): (SocketRequest, OutputStream) -> Unit =
+        { request, out ->
+            out.write(success(request))
+            out.close()
+        }
+
+    private fun closeInsteadOfSecondAnswer(): (SocketRequest, OutputStream) -> Unit =
+        { request, out -> if (request.index == 0) out.write(success(request)) else out.close() }
+
     private fun runAndAnswer(status: Int): (SocketRequest, OutputStream) -> Unit =
         { request, out ->
             success(request)
