--- a/gateway/src/test/kotlin/sycamore/gateway/PlainCallsTest.kt
+++ b/gateway/src/test/kotlin/sycamore/gateway/PlainCallsTest.kt
@@ -1,5 +1,6 @@
 package sycamore.gateway
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
@@ -10,6 +11,7 @@
 import org.http4k.client.JettyClient
 import org.http4k.core.Method
 import org.http4k.core.Request
+import sycamore.daemon.InvalidEntries
 import sycamore.forwarding.CallerExchange
 import sycamore.forwarding.CallerServer
 import sycamore.forwarding.ResponseEvent
@@ -34,7 +36,7 @@
 class PlainCallsTest {
     private val time = TimeSource.Monotonic
     private val store = KeyValueStore()
-    private val directory = UpstreamDirectory(store)
+    private val directory = UpstreamDirectory(store, InvalidEntries("upstream", SimpleMeterRegistry()))
     private val routes =
         Configurations.decode(
             SampleDocuments.configuration(HOST, "/turns/", "engines", "/calls/", "plain", isIdempotent = false),
