Count a turn that was refused and started again with its text and its tokens

Cause: a turn may now have two starts and two ends, at one home or two, and not every order gave the same result. A start without text, which another home's count of tokens brings, hid the start with the text, so that a prompt lacked a part of its chain. Of two ends without a complete answer the first one counted, so that the tokens of the second attempt were lost to a successor; and a turn that was running again when its home was lost counted as ended. A refusal that was handled late could remove a turn that the record of another home had completed.

Evidence: on the code before, three new tests of TurnTableTest, its test of records in any order ("expected: <131> but was: <138>", with refused and counted turns among the records), and HomeDaemonTest `a turn that runs after a refusal when its home is killed counts with all tokens that it reserved`, "expected: <BUDGET_SPENT> but was: <whole>".

Fix: a start with text replaces one without; the larger number of tokens counts among incomplete ends; a successor counts a turn as open if its last start follows its last end, in the order of the log; only an open turn is withdrawn.

--- a/homes/src/main/kotlin/sycamore/homes/SealedLog.kt
+++ b/homes/src/main/kotlin/sycamore/homes/SealedLog.kt
@@ -32,10 +32,13 @@
 ) {
     private val ownSegments = segments.filter { it.sealedBy == null }
 
-    /** The records that the home had committed, and those of [retained], which retainers keep, that it had not. */
+    /**
+     * The records that the home had committed, and those of [retained], which retainers keep, that it had not, in the
+     * order of their numbers.
+     */
     fun recordsWith(retained: List<LogRecord>): List<LogRecord> {
         val committedNumber = ownSegments.maxOfOrNull { it.lastNumber } ?: 0
-        val uncommitted = retained.filter { it.number > committedNumber }.distinctBy { it.number }
+        val uncommitted = retained.filter { it.number > committedNumber }.distinctBy { it.number }.sortedBy { it.number }
         return ownSegments.flatMap { it.records } + uncommitted
     }
 
--- a/homes/src/main/kotlin/sycamore/homes/TurnHome.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnHome.kt
@@ -17,6 +17,7 @@
 import sycamore.model.Address
 import sycamore.model.HomeId
 import sycamore.model.PlaceName
+import sycamore.routing.AttemptId
 import sycamore.routing.ProgramName
 import sycamore.services.KeyValue
 import sycamore.services.ReadResult
@@ -28,6 +29,7 @@
 import sycamore.turns.TurnBroken
 import sycamore.turns.TurnEnd
 import sycamore.turns.TurnFinished
+import sycamore.turns.TurnRecord
 import sycamore.turns.TurnRecords
 import sycamore.turns.TurnStarted
 import sycamore.turns.TurnTable
@@ -138,18 +140,12 @@
      */
     fun adopt(log: List<LogRecord>) {
         val records = log.map { TurnRecords.decode(it.bytes) }
-        val counted = records.filterIsInstance<TurnsCounted>().flatMap { it.turns }
-        val ended = records.filterIsInstance<TurnEnd>().map { it.turn }.toSet() + counted
-        val broken =
-            records
-                .filterIsInstance<TurnStarted>()
-                .filter { it.turn !in ended }
-                .map { TurnBroken(it.program, it.turn, it.reserved) }
+        val broken = openTurns(records).map { TurnBroken(it.program, it.turn, it.reserved) }
         (records + broken).forEach(table::apply)
         registrations.adopt(records)
         journal.appendAdopted(log.map { it.bytes })
         broken.forEach(journal::append)
-        val completeTurns = records.count { it is TurnFinished } + counted.size
+        val completeTurns = records.count { it is TurnFinished } + records.filterIsInstance<TurnsCounted>().sumOf { it.turns.size }
         logger.event(
             "programs-adopted",
             "home" to id,
@@ -159,6 +155,19 @@
         )
     }
 
+    /** The last starts of the turns that have no later end. A turn that its engine refused may have been started again. */
+    private fun openTurns(records: List<TurnRecord>): Collection<TurnStarted> {
+        val open = LinkedHashMap<AttemptId, TurnStarted>()
+        for (record in records) {
+            when (record) {
+                is TurnStarted -> open[record.turn] = record
+                is TurnEnd -> open.remove(record.turn)
+                is TurnsCounted -> open -= record.turns.toSet()
+            }
+        }
+        return open.values
+    }
+
     /**
      * Counts tokens that another home has passed on to the caller of a program of this home. Returns false if the
      * records could not be kept in time.
--- a/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
@@ -766,6 +766,27 @@
             assertEquals("in-a;one\ntwo\nin-b;", fixture.prompts["b"])
         }
 
+    /** Guards against a budget that is exceeded after the loss of a home in which a turn was refused and then ran until the end of it. */
+    @Test
+    fun `a turn that runs after a refusal when its home is killed counts with all tokens that it reserved`() =
+        homeTest { fixture ->
+            fixture.startReady(1)
+            fixture.startReady(2)
+            fixture.isFull = true
+            assertEquals("NOT_NOW", fixture.sendTurn(1, "a", budget = 100).outcome())
+            fixture.isFull = false
+            fixture.answerTime = 5.seconds
+            val lost = fixture.homeAt(1)
+            val running = async { fixture.sendTurn(1, "a", budget = 100).outcome() }
+            delay(2600.milliseconds)
+            fixture.kill(address(1))
+            running.cancel()
+            assertIs<HomeTakenOver>(fixture.takeOver(lost, by = 2))
+            fixture.answerTime = 50.milliseconds
+            assertEquals("whole", fixture.sendTurn(2, "b", budget = 100).outcome())
+            assertEquals("BUDGET_SPENT", fixture.sendTurn(2, "c", budget = 100).outcome())
+        }
+
     /** Guards against a complete turn that is unknown to the next one: a home at which it was refused reported it as ended meanwhile. */
     @Test
     fun `a turn that another home reports while it runs is complete once it is answered`() =
--- a/turns/src/main/kotlin/sycamore/turns/LogEntry.kt
+++ b/turns/src/main/kotlin/sycamore/turns/LogEntry.kt
@@ -46,8 +46,6 @@
 
 private fun TurnFinished.isCountedOnly(starts: Map<AttemptId, TurnStarted>) = output.isEmpty() && turn in starts
 
-private val TurnStarted.hasNoText: Boolean get() = previous == null && base == null && input.isEmpty()
-
 /** The turn of a record that concerns a single one. */
 private val TurnRecord.turn: AttemptId? get() =
     when (this) {
--- a/turns/src/main/kotlin/sycamore/turns/ProgramTurns.kt
+++ b/turns/src/main/kotlin/sycamore/turns/ProgramTurns.kt
@@ -50,14 +50,17 @@
 /** The turns of one program and the tokens that they spent. Not thread-safe. */
 internal class ProgramTurns {
     private class Turn(
-        val previous: AttemptId?,
-        val input: ByteArray,
-        val base: ByteArray?,
-        val reserved: Long,
+        var start: TurnStarted,
     ) {
+        /** The tokens that the turn reserves while it is open. */
+        val reserved: Long = start.reserved
         var output: ByteArray? = null
         var tokens = 0L
         var isOpen = true
+
+        val previous: AttemptId? get() = start.previous
+        val input: ByteArray get() = start.input
+        val base: ByteArray? get() = start.base
     }
 
     private val turns = HashMap<AttemptId, Turn>()
@@ -116,10 +119,12 @@
         }
     }
 
-    /** Reverts the start of [turn], which did not run. */
-    fun withdraw(turn: AttemptId) {
-        val withdrawn = turns.remove(turn) ?: return
-        if (withdrawn.isOpen) reserved -= withdrawn.reserved
+    /** Reverts the start of [turn], which did not run. Returns false if the turn has ended by the record of another home. */
+    fun withdraw(turn: AttemptId): Boolean {
+        val started = turns[turn]?.takeIf { it.isOpen } ?: return false
+        turns.remove(turn)
+        reserved -= started.reserved
+        return true
     }
 
     /** Applies [record]. A record that was applied before changes nothing. */
@@ -141,8 +146,13 @@
     }
 
     private fun begin(record: TurnStarted) {
-        if (record.turn in turns) return
-        turns[record.turn] = Turn(record.previous, record.input, record.base, record.reserved)
+        val known = turns[record.turn]
+        if (known != null) {
+            // A count of tokens from another home, which has no text, may have come before the start itself.
+            if (known.start.hasNoText) known.start = record
+            return
+        }
+        turns[record.turn] = Turn(record)
         reserved += record.reserved
         earlyEnds.remove(record.turn)?.let(::apply)
     }
@@ -155,12 +165,12 @@
         val turn = turns[record.turn]
         if (turn == null) {
             val early = earlyEnds[record.turn]
-            if (early !is TurnFinished) earlyEnds[record.turn] = record
+            if (early == null || record.supersedes(early)) earlyEnds[record.turn] = record
             return
         }
-        // An engine may have refused the turn, so that it ended as broken there, and another one answered it.
-        val completesBroken = output != null && turn.output == null
-        if (!turn.isOpen && !completesBroken) return
+        // A turn that one engine refused and another one ran has two ends, and may have them at two homes.
+        val isSuperseded = turn.output == null && (output != null || tokens > turn.tokens)
+        if (!turn.isOpen && !isSuperseded) return
         if (turn.isOpen) reserved -= turn.reserved
         turn.isOpen = false
         spent += tokens - turn.tokens
@@ -168,6 +178,9 @@
         turn.tokens = tokens
     }
 
+    private fun TurnEnd.supersedes(other: TurnEnd): Boolean =
+        other !is TurnFinished && (this is TurnFinished || tokens > other.tokens)
+
     /**
      * The prompt that an engine receives for [turn]: input and output of each earlier turn in its chain, then its own
      * input.
--- a/turns/src/main/kotlin/sycamore/turns/TurnRecord.kt
+++ b/turns/src/main/kotlin/sycamore/turns/TurnRecord.kt
@@ -13,10 +13,15 @@
     val program: ProgramName
 }
 
-/** Record of how a turn ended. */
+/**
+ * Record of how a turn ended.
+ *
+ * @property tokens number of tokens that the turn generated.
+ */
 @Serializable
 sealed interface TurnEnd : TurnRecord {
     val turn: AttemptId
+    val tokens: Long
 }
 
 /**
@@ -38,7 +43,10 @@
     @SerialName("r") val reserved: Long,
     @SerialName("b") val base: ByteArray? = null,
     @SerialName("g") val isRegistered: Boolean = false,
-) : TurnRecord
+) : TurnRecord {
+    /** Whether the turn contributes nothing to the prompts of later turns but its output. */
+    internal val hasNoText: Boolean get() = previous == null && base == null && input.isEmpty()
+}
 
 /** Record of a complete answer to a turn. Its caller may continue from it, and the next prompt repeats [output]. */
 @Serializable
@@ -47,7 +55,7 @@
     @SerialName("p") override val program: ProgramName,
     @SerialName("t") override val turn: AttemptId,
     @SerialName("o") val output: ByteArray,
-    @SerialName("n") val tokens: Long,
+    @SerialName("n") override val tokens: Long,
 ) : TurnEnd
 
 /** Record of a turn that ended without a complete answer, after [tokens] generated tokens. */
@@ -56,7 +64,7 @@
 data class TurnBroken(
     @SerialName("p") override val program: ProgramName,
     @SerialName("t") override val turn: AttemptId,
-    @SerialName("n") val tokens: Long,
+    @SerialName("n") override val tokens: Long,
 ) : TurnEnd
 
 /**
--- a/turns/src/main/kotlin/sycamore/turns/TurnTable.kt
+++ b/turns/src/main/kotlin/sycamore/turns/TurnTable.kt
@@ -81,13 +81,16 @@
         turn: AttemptId,
     ): ByteArray = withShard(program) { it[program]?.turns?.prompt(turn) } ?: ByteArray(0)
 
-    /** Reverts the start of [turn], which did not run. It may be started again. */
+    /**
+     * Reverts the start of [turn], which did not run. It may be started again, unless the record of another home has ended
+     * it meanwhile.
+     */
     fun withdraw(
         program: ProgramName,
         turn: AttemptId,
     ) {
-        programOf.remove(turn)
-        withShard(program) { it[program]?.turns?.withdraw(turn) }
+        val isWithdrawn = withShard(program) { it[program]?.turns?.withdraw(turn) == true }
+        if (isWithdrawn) programOf.remove(turn)
     }
 
     /** Applies [record] to its program. */
--- a/turns/src/test/kotlin/sycamore/turns/TurnTableTest.kt
+++ b/turns/src/test/kotlin/sycamore/turns/TurnTableTest.kt
@@ -145,6 +145,38 @@
         }
     }
 
+    /** Guards against a prompt without the text of a turn whose tokens another home had counted before its records were read. */
+    @Test
+    fun `a turn whose tokens were counted before its start was read keeps its text`() {
+        val began = TurnStarted(program, AttemptId("a"), null, "in-a;".encodeToByteArray(), reserved = 40)
+        val finished = TurnFinished(program, AttemptId("a"), "out-a\n".encodeToByteArray(), 10)
+        val counted = TurnStarted(program, AttemptId("a"), null, ByteArray(0), reserved = 10)
+        listOf(counted, TurnBroken(program, AttemptId("a"), 10), began, finished).forEach(table::apply)
+        assertEquals("in-a;out-a\n", table.promptAfter(AttemptId("a"))?.decodeToString())
+        assertEquals(10, table.committedTokens(program))
+    }
+
+    /** Guards against a budget that is exceeded because the tokens of a turn's second attempt are not counted. */
+    @Test
+    fun `a turn that broke after it was refused counts with the tokens that it generated`() {
+        val began = TurnStarted(program, AttemptId("a"), null, "in-a;".encodeToByteArray(), reserved = 40)
+        val ends = listOf(TurnBroken(program, AttemptId("a"), 0), TurnBroken(program, AttemptId("a"), 20))
+        for (records in listOf(listOf(began) + ends, ends + began, listOf(began) + ends.reversed())) {
+            val table = TurnTable(time).apply { records.forEach(::apply) }
+            assertEquals(20, table.committedTokens(program), "$records")
+        }
+    }
+
+    /** Guards against a complete turn that is removed, because its refusal at this home is handled after the records of another. */
+    @Test
+    fun `a turn that another home's record has ended is not withdrawn`() {
+        start(request("a"))
+        finish("a")
+        table.withdraw(program, AttemptId("a"))
+        assertEquals(TurnStart.Repeated, start(request("a")))
+        assertEquals("in-a;out-a\n", table.promptAfter(AttemptId("a"))?.decodeToString())
+    }
+
     /** A successor reads records from segments and from retainers, some of them twice and out of order. */
     @Property(tries = 100, seed = "31")
     fun `records in any order, some of them twice, give the same table`(
@@ -169,16 +201,20 @@
             val turn = AttemptId("t$number")
             val previous = complete.randomOrNull(random)
             val started = TurnStarted(program, turn, previous, "i$number".encodeToByteArray(), reserved = 30)
-            val end =
-                when (random.nextInt(3)) {
-                    0 -> null
-                    1 -> TurnBroken(program, turn, random.nextLong(30))
-                    else ->
-                        TurnFinished(program, turn, "o$number".encodeToByteArray(), random.nextLong(30)).also {
-                            complete += turn
-                        }
+            val counted = TurnStarted(program, turn, previous = null, input = ByteArray(0), reserved = 0)
+            val refused = TurnBroken(program, turn, 0)
+            val broken = TurnBroken(program, turn, random.nextLong(30))
+            val finished = TurnFinished(program, turn, "o$number".encodeToByteArray(), random.nextLong(30))
+            val ends =
+                when (random.nextInt(5)) {
+                    0 -> emptyList()
+                    1 -> listOf(broken)
+                    2 -> listOf(refused, broken)
+                    3 -> listOf(finished)
+                    else -> listOf(broken, counted, finished)
                 }
-            listOfNotNull(started, end)
+            if (finished in ends) complete += turn
+            listOf(started) + ends
         }
     }
 }
