A reset no longer completes a response without a length

Callers got a 200 with a Content-Length and a part of the body when an upstream answered with neither a length nor chunks and its connection was then reset. The store's client took a part of such a response as complete in the same way.

Cause: Jetty's SocketChannelEndPoint.fill catches the IOException of a read and returns -1, the value for an orderly end of the stream. A body without a length ends there, so HttpParser completes it. A connection that the keep-alive probes give up ends in the same way.

ResetDetectingEndPoint, which both clients' connector now creates, lets such a read fail. Only a close by the peer is an end of the stream. The failure is thrown one read late, because Jetty reads once more after the last byte of a response before it reports the response as complete; a complete response followed by a reset is still complete, which a test shows.

TruncatedResponseTest sends prepared bytes from a bare socket to both clients and ends the connection with a close or a reset. On the code before, 7 of its cases failed, all of them responses without a length whose connection was reset: "Expected an exception of class java.io.IOException to be thrown, but was completed successfully." Heads, lengths, chunks and trailers that stop in the middle failed properly before, with a close and with a reset.

--- a/forwarding/src/main/kotlin/sycamore/forwarding/KeepAliveConnector.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/KeepAliveConnector.kt
@@ -3,14 +3,18 @@
 import jdk.net.ExtendedSocketOptions
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP
 import org.eclipse.jetty.io.ClientConnector
+import org.eclipse.jetty.io.EndPoint
+import org.eclipse.jetty.io.ManagedSelector
 import org.eclipse.jetty.util.ssl.SslContextFactory
 import java.net.StandardSocketOptions
 import java.nio.channels.NetworkChannel
 import java.nio.channels.SelectableChannel
+import java.nio.channels.SelectionKey
+import java.nio.channels.SocketChannel
 
 /**
- * Enables TCP keep-alive probes on all connections. A connection whose peer failed without closing it cannot be
- * detected in any other way.
+ * Enables TCP keep-alive probes on all connections, and makes a lost connection distinguishable from a closed one. A
+ * connection whose peer failed without closing it cannot be detected in any other way than by probes.
  */
 internal class KeepAliveConnector : ClientConnector() {
     override fun newSslContextFactory(): SslContextFactory.Client = UnusedTls()
@@ -25,6 +29,12 @@
         override fun doStop() = Unit
     }
 
+    override fun newEndPoint(
+        channel: SelectableChannel,
+        selector: ManagedSelector,
+        key: SelectionKey,
+    ): EndPoint = ResetDetectingEndPoint(channel as SocketChannel, selector, key, scheduler)
+
     override fun configure(channel: SelectableChannel) {
         super.configure(channel)
         val socket = channel as? NetworkChannel ?: return
