A response that begins with an interim one fails at once

An exchange whose upstream sent a response 100 or 103 first never ended, also if the complete response followed or the connection was closed. Only the time limit of the call ended it for its caller.

Cause: UpstreamClient removes all of Jetty's protocol handlers, among them those for interim responses. Without them Jetty reports the interim response to the listener and never completes the exchange.

The listener now aborts the exchange. Requests to upstreams carry no Expect field, so nothing asks for an interim response. The failure of the rest of a short response, which no one reads, is also caught now; it went to the thread's handler as an uncaught exception.

--- a/forwarding/src/main/kotlin/sycamore/forwarding/UpstreamClient.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/UpstreamClient.kt
@@ -17,6 +17,7 @@
 import org.eclipse.jetty.client.Response
 import org.eclipse.jetty.client.Result
 import org.eclipse.jetty.http.HttpCookieStore
+import org.eclipse.jetty.http.HttpStatus
 import org.eclipse.jetty.io.Content
 import org.eclipse.jetty.util.thread.QueuedThreadPool
 import sycamore.model.Address
@@ -147,7 +148,11 @@
         }
         scope.launch {
             lastPart?.demand?.run()
-            withTimeoutOrNull(REMAINDER_TIMEOUT) { for (part in response.parts) part.demand?.run() }
+            try {
+                withTimeoutOrNull(REMAINDER_TIMEOUT) { for (part in response.parts) part.demand?.run() }
+            } catch (_: UpstreamException) {
+                // The response has failed, and its connection is closed.
+            }
             if (!response.isComplete) jetty.abort(cancellation)
         }
     }
@@ -179,6 +184,10 @@
         private var isFramed = true
 
         override fun onHeaders(response: Response) {
+            if (HttpStatus.isInformational(response.status)) {
+                response.abort(IOException("the upstream sent an interim response (${response.status})"))
+                return
+            }
             isFramed = response.headers.contains("Content-Length") || response.headers.contains("Transfer-Encoding")
             isShort = response.headers.getLongField("Content-Length") in 0..SHORT_BODY_BYTES
             val headers = response.headers.map { it.name to it.value.orEmpty() }
--- a/forwarding/src/test/kotlin/sycamore/forwarding/TruncatedResponseTest.kt
+++ b/forwarding/src/test/kotlin/sycamore/forwarding/TruncatedResponseTest.kt
@@ -41,6 +41,12 @@
             "after a field line that declares a length" to "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
             "before the last line feed of a head that declares a length" to
                 "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r",
+            "after a response 100" to "HTTP/1.1 100 Continue\r\n\r\n",
+            "within the status line after a response 100" to "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200",
+            "within a response 103" to "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n",
+            "after a response 103" to "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n",
+            "within the head after a response 103" to
+                "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\nHTTP/1.1 200 OK\r\nX-A: b\r\n",
             "after a head that declares a length" to "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n",
             "within a body with a length" to "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcd",
             "after a head that declares chunks" to CHUNKED,
@@ -161,6 +167,15 @@
     fun `a response that is complete does not depend on the end of its connection`() =
         tests(complete, ConnectionEnd.entries) { client, server -> assertEquals("abcde", client.call(server)) }
 
+    /** Guards against a call that never ends because the upstream sent an interim response first. */
+    @Test
+    fun `a response after an interim response fails`() {
+        val response = "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcde"
+        RawServer(ConnectionEnd.CLOSE) { response.encodeToByteArray() }.use { server ->
+            assertFailsWith<UpstreamException> { callUpstream(server) }
+        }
+    }
+
     /** Guards against a reset that is taken for the orderly end of a response without a length. */
     @Test
     fun `a response without a length fails if its connection is reset after a part of it was read`() {
