A stream that is broken off has no orderly end if its connection closes

A caller that sent Connection: close, or whose connection closes because the gateway is being stopped, got a broken-off stream as a complete one: the body had neither a length nor chunks, and the gateway ended it by closing the connection.

Cause: Jetty frames a body of unknown length with the close of the connection if the connection does not persist. CallerExchange.abort relies on the missing last chunk.

CallerExchange.sendHead now declares chunks to every HTTP/1.1 caller, whether the connection persists or not. HTTP/1.0 has no chunks; a stream to such a caller cannot tell a broken-off end and is not changed.

--- a/forwarding/src/main/kotlin/sycamore/forwarding/CallerExchange.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/CallerExchange.kt
@@ -1,6 +1,9 @@
 package sycamore.forwarding
 
 import kotlinx.coroutines.suspendCancellableCoroutine
+import org.eclipse.jetty.http.HttpHeader
+import org.eclipse.jetty.http.HttpHeaderValue
+import org.eclipse.jetty.http.HttpVersion
 import org.eclipse.jetty.io.Content
 import org.eclipse.jetty.io.EofException
 import org.eclipse.jetty.server.Request
@@ -98,13 +101,20 @@
      */
     fun watchCaller(onClosed: () -> Unit) = watch.start(onClosed)
 
-    /** Sends the response head, without waiting for the first bytes of the body. */
+    /**
+     * Sends the response head, without waiting for the first bytes of the body. The body is sent in chunks even if the
+     * connection closes after it. Otherwise its close would be the only end of the body, and an aborted response would
+     * look complete.
+     */
     suspend fun sendHead(
         status: Int,
         headers: List<Header>,
     ) {
         isStarted = true
         setHead(status, headers)
+        if (request.connectionMetaData.httpVersion == HttpVersion.HTTP_1_1) {
+            response.headers.put(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED)
+        }
         write(last = false, EMPTY)
     }
 
