A plain stream that ends within an event is broken off

A stream of events on a plain route whose upstream closed its connection within an event, or sent its last chunk there, ended as complete for the caller.

Cause: UpstreamAttempt looked at the end of the connection only. Turns were checked at their homes, by EventReader.

EventReader uses it, and so does UpstreamAttempt for answers of type text/event-stream on streaming routes: if the answer ends within an event, the caller's connection is closed without the last chunk. An event ends with an empty line; lines end with a line feed or a carriage return and a line feed.

Before, two tests of TruncatedAnswerTest failed: "a stream without a length is broken off if its connection is closed within an event" and "a stream in chunks is broken off if it ends within an event", both with a response that ended with the last chunk. "a turn whose answer ends within an event is not kept" in HomeDaemonTest passed before as well; no test covered it.

--- a/gateway/src/main/kotlin/sycamore/gateway/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/UpstreamAttempt.kt
@@ -13,6 +13,7 @@
 import sycamore.platform.CallHeaders
 import sycamore.routing.ListedUpstream
 import sycamore.routing.RepeatPolicy
+import sycamore.turns.EventBoundary
 import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
 
@@ -52,6 +53,7 @@
     private val onLeaving: (ListedUpstream) -> Unit,
 ) {
     private val buffer = ByteArrayOutputStream()
+    private val events = EventBoundary()
     private var head: ResponseEvent.Head? = null
     private var rejection: AttemptResult? = null
 
@@ -85,6 +87,9 @@
         }
         rejection?.let { return it }
         if (head == null) return AttemptResult.Failed("${upstream.id} gave no answer")
+        if (isEventStream && !events.isBetweenEvents) {
+            return AttemptResult.Truncated("${upstream.id} ended its answer within an event")
+        }
         completeResponse()
         return AttemptResult.Completed
     }
@@ -117,6 +122,7 @@
     }
 
     private suspend fun handleBytes(bytes: ByteArray) {
+        if (isEventStream) events.read(bytes)
         if (caller.isStarted) return caller.write(bytes)
         buffer.write(bytes)
         if (buffer.size() > MAX_BUFFERED_BYTES) startForwarding()
@@ -124,6 +130,13 @@
 
     private val isStream: Boolean get() = call.route.repeat == RepeatPolicy.ONCE_STREAMED
 
+    private val isEventStream: Boolean by lazy {
+        isStream &&
+            head!!.headers.any { (name, value) ->
+                name.equals("Content-Type", ignoreCase = true) && value.startsWith(EVENT_STREAM, ignoreCase = true)
+            }
+    }
+
     /** Why the response that starts with [event] is not forwarded; null if it is. */
     private fun rejectionOf(event: ResponseEvent.Head): AttemptResult? {
         val response = CallHeaders.decodeResponse(event.status, event.headers)
@@ -153,5 +166,7 @@
     private companion object {
         /** The most bytes of a response that are buffered. Responses of plain services have about a kilobyte. */
         const val MAX_BUFFERED_BYTES = 256 * 1024
+
+        const val EVENT_STREAM = "text/event-stream"
     }
 }
--- a/gateway/src/test/kotlin/sycamore/gateway/TruncatedAnswerTest.kt
+++ b/gateway/src/test/kotlin/sycamore/gateway/TruncatedAnswerTest.kt
@@ -84,10 +84,22 @@
             for (headers in connectionHeaders) assertTrue(call(headers).endsWith(LAST_CHUNK), call(headers))
         }
 
+    @Test
+    fun `a stream without a length is broken off if its connection is closed within an event`() =
+        gateway(ConnectionEnd.CLOSE, "$STREAM_HEAD\r\ndata: one\n\ndata: t", isStreaming = true) { assertBrokenOff() }
+
     @Test
     fun `a stream without a length is broken off if its connection is reset after an event`() =
         gateway(ConnectionEnd.RESET, "$STREAM_HEAD\r\ndata: one\n\n", isStreaming = true) { assertBrokenOff() }
 
+    @Test
+    fun `a stream in chunks is broken off if it ends within an event`() =
+        gateway(
+            ConnectionEnd.CLOSE,
+            "${STREAM_HEAD}Transfer-Encoding: chunked\r\n\r\n9\r\ndata: one\r\n0\r\n\r\n",
+            isStreaming = true,
+        ) { assertBrokenOff() }
+
     @Test
     fun `a stream that is not one of events may end anywhere`() =
         gateway(ConnectionEnd.CLOSE, "$HEAD\r\n$BODY", isStreaming = true) {
--- a/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
@@ -659,6 +659,22 @@
             assertEquals("whole", fixture.sendTurn(1, "b").outcome())
         }
 
+    /** Guards against a history that contains a turn whose answer was broken off, although its connection ended orderly. */
+    @Test
+    fun `a turn whose answer ends within an event is not kept`() =
+        homeTest { fixture ->
+            fixture.startReady(1)
+            for ((number, rest) in listOf("d", "data: three", "data: three\n", "data: three\r\n\r").withIndex()) {
+                fixture.lastChunk = rest.encodeToByteArray()
+                assertEquals("broke", fixture.sendTurn(1, "a$number").outcome())
+                assertEquals("NO_SUCH_TURN", fixture.sendTurn(1, "b$number", "a$number").outcome())
+            }
+            fixture.lastChunk = "data: three\n\n".encodeToByteArray()
+            assertEquals("whole", fixture.sendTurn(1, "c").outcome())
+            assertEquals("whole", fixture.sendTurn(1, "d", "c").outcome())
+            assertEquals("in-c;one\ntwo\nthree\nin-d;", fixture.prompts["d"])
+        }
+
     @Test
     fun `an event that never ends is aborted`() =
         homeTest { fixture ->
--- a/homes/src/test/kotlin/sycamore/homes/HomeFixture.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeFixture.kt
@@ -105,6 +105,9 @@
      */
     var endlessChunk: ByteArray? = null
 
+    /** Bytes that an engine sends after its events, before it ends its answer. */
+    var lastChunk: ByteArray = ByteArray(0)
+
     /** Whether engines refuse turns without running them. */
     var isFull = false
 
@@ -242,6 +245,7 @@
                 emit(ResponseEvent.Bytes(endlessChunk ?: break))
                 delay(1.milliseconds)
             }
+            if (lastChunk.isNotEmpty()) emit(ResponseEvent.Bytes(lastChunk))
             emit(ResponseEvent.End(isFramed = true))
         }
 
--- a/turns/src/main/kotlin/sycamore/turns/EventReader.kt
+++ b/turns/src/main/kotlin/sycamore/turns/EventReader.kt
@@ -10,8 +10,8 @@
     private val line = ByteArrayOutputStream()
     private val data = ByteArrayOutputStream()
     private val kept = ByteArrayOutputStream()
+    private val boundary = EventBoundary()
     private var hasData = false
-    private var isEventOpen = false
 
     /** Number of complete events so far. */
     var events = 0
@@ -21,13 +21,14 @@
     val size: Int get() = kept.size() + data.size() + line.size()
 
     /** Whether the last byte ended an event. */
-    val isBetweenEvents: Boolean get() = !isEventOpen && line.size() == 0
+    val isBetweenEvents: Boolean get() = boundary.isBetweenEvents
 
     /** Data of the complete events so far, each followed by a line feed. */
     val output: ByteArray get() = kept.toByteArray()
 
     /** Reads the next [bytes] of the stream. */
     fun read(bytes: ByteArray) {
+        boundary.read(bytes)
         for (byte in bytes) {
             if (byte == LINE_FEED) endLine() else line.write(byte.toInt())
         }
@@ -40,7 +41,6 @@
             endEvent()
             return
         }
-        isEventOpen = true
         dataOf(text)?.let { value ->
             if (hasData) data.write(LINE_FEED.toInt())
             data.write(value)
@@ -64,7 +64,6 @@
         }
         data.reset()
         hasData = false
-        isEventOpen = false
     }
 
     private companion object {
