Fault soak: the daemons as processes, before upstreams on bare sockets

The daemons on the platform ran together only in the rehearsal, in one process and with upstreams that keep to the protocol. No test saw an upstream that repeats a refusal on a kept connection, or one that breaks off in the middle of a head.

The module soak starts gateways, homes and retainers as processes, injects faults by seed and checks what callers and upstreams see. bin/sycamore-fault-soak runs it by hand.

--- /dev/null
+++ b/soak/src/main/kotlin/sycamore/soak/Callers.kt
@@ -0,0 +1,232 @@
+package sycamore.soak
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import sycamore.platform.Header
+import sycamore.platform.SampleDocuments
+import java.io.IOException
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/**
+ * A complete turn.
+ *
+ * @property chain the inputs and outputs of the turn and all turns before it.
+ */
+internal class CompleteTurn(
+    val id: String,
+    val chain: String,
+)
+
+/** One caller, which sends calls and programs over a connection that it keeps as long as it can. */
+internal class Caller(
+    private val number: Int,
+    seed: Long,
+    private val deployment: Deployment,
+    private val observations: Observations,
+) {
+    private val random = Random(seed)
+    private var gateway: Daemon = deployment.gateways.random(random)
+    private var connection: CallerConnection? = null
+    private var sent = 0
+    private var programs = 0
+
+    /** The last complete turn of this caller. */
+    var lastTurn: CompleteTurn? = null
+        private set
+
+    /** Sends calls until cancelled. */
+    suspend fun run() {
+        try {
+            while (currentCoroutineContext().isActive) {
+                when (random.nextInt(KINDS)) {
+                    0 -> call(CallKind.REPEATABLE)
+                    1, 2 -> call(CallKind.ONCE)
+                    else -> program()
+                }
+                delay(random.nextLong(MAX_PAUSE_MILLIS).milliseconds)
+            }
+        } finally {
+            connection?.close()
+        }
+    }
+
+    /** Sends one plain call, with further attempts where they are allowed. Returns whether it succeeded. */
+    suspend fun call(kind: CallKind): Boolean {
+        val body = "body of $number.${sent + 1} " + "y".repeat(random.nextInt(MAX_BODY_BYTES))
+        repeat(MAX_ATTEMPTS) {
+            val attempt = attempt(kind, body)
+            val (response, isServed) = send(attempt, SampleDocuments.callHeaders(attempt.id))
+            val status = response?.head?.status ?: 0
+            if (isServed) return true
+            if (kind != CallKind.REPEATABLE && status !in kind.promises) return false
+            if (status in FINAL) return false
+            changeGateway()
+            delay(RETRY_DELAY)
+        }
+        return false
+    }
+
+    private suspend fun program() {
+        val name = "p$number.${++programs}"
+        val turns = 1 + random.nextInt(MAX_TURNS)
+        val budget = if (random.nextInt(SMALL_BUDGET_ONE_IN) == 0) SMALL_BUDGET else LARGE_BUDGET
+        val account = TokenAccount(name, budget)
+        val done = ArrayList<CompleteTurn>()
+        repeat(turns) {
+            // Some turns branch off an earlier turn.
+            val previous = if (random.nextInt(BRANCH_ONE_IN) == 0) done.randomOrNull(random) else done.lastOrNull()
+            val turn = turn(account, previous) ?: return
+            done += turn
+            lastTurn = turn
+            delay(random.nextLong(MAX_PAUSE_MILLIS).milliseconds)
+        }
+    }
+
+    /** Sends one turn that continues [previous], with further attempts where they are allowed. */
+    suspend fun turn(
+        account: TokenAccount,
+        previous: CompleteTurn?,
+    ): CompleteTurn? {
+        val input = "input ${account.program}.${sent + 1};" + "z".repeat(random.nextInt(MAX_BODY_BYTES))
+        repeat(MAX_ATTEMPTS) {
+            val attempt = attempt(CallKind.TURN, previous?.chain.orEmpty() + input)
+            val headers = SampleDocuments.turnHeaders(attempt.id, account.program, previous?.id, account.budget)
+            val (response, isServed) = send(attempt, headers, input)
+            val status = response?.head?.status ?: 0
+            val data = if (response != null && status in SUCCESSES) dataOf(response.body) else emptyList()
+            account.spend(attempt, data.size, observations)
+            if (isServed) {
+                return CompleteTurn(attempt.id, attempt.prompt + data.joinToString("") { "$it\n" })
+            }
+            if (previous != null && status in GONE) {
+                val detail = "${observations.describe(attempt)}: $status, though ${previous.id} was answered completely"
+                observations.report(Rule.LOST, attempt.id, detail)
+            }
+            if (status in FINAL || status == CallKind.BUDGET_SPENT) return null
+            changeGateway()
+            delay(RETRY_DELAY)
+        }
+        return null
+    }
+
+    private fun attempt(
+        kind: CallKind,
+        prompt: String,
+    ): Attempt {
+        val id = "a$number.${++sent}"
+        return Attempt(id, kind, gateway, "${kind.prefix}$number", prompt, TimeSource.Monotonic.markNow())
+    }
+
+    /** Sends [attempt] over the open connection or a new one. Returns the response and whether it is a valid success. */
+    private suspend fun send(
+        attempt: Attempt,
+        headers: List<Header>,
+        body: String = attempt.prompt,
+    ): Pair<ReceivedResponse?, Boolean> {
+        observations.begin(attempt)
+        val open = connection ?: connect() ?: return null to false
+        if (open.hasUnrequestedBytes) {
+            observations.report(Rule.MIXED, attempt.id, "${gateway.name} sent bytes that no request asked for")
+        }
+        val result = open.call(attempt.path, listOf("Host" to Deployment.HOST) + headers, body, TIMEOUT)
+        val isServed = observations.recordResponse(attempt, result.response, result.isTimeout)
+        if (!open.isReusable) disconnect()
+        return result.response to isServed
+    }
+
+    private fun connect(): CallerConnection? =
+        try {
+            CallerConnection(deployment.callersAddress(gateway), CONNECT_TIMEOUT).also { connection = it }
+        } catch (_: IOException) {
+            null
+        }
+
+    private fun disconnect() {
+        connection?.close()
+        connection = null
+    }
+
+    /** Directs further attempts to another gateway, over a new connection. */
+    fun changeGateway(to: Daemon = deployment.gateways.random(random)) {
+        disconnect()
+        gateway = to
+    }
+
+    companion object {
+        private val SUCCESSES = 200..299
+        private val GONE = setOf(404, 410)
+
+        /** Statuses after which no attempt follows. */
+        private val FINAL = setOf(400, 401, 403, 404, 410, 413, 431)
+        private const val KINDS = 6
+        private const val MAX_ATTEMPTS = 4
+        private const val MAX_TURNS = 6
+        private const val BRANCH_ONE_IN = 6
+        private const val SMALL_BUDGET_ONE_IN = 5
+        private const val SMALL_BUDGET = 150L
+        private const val LARGE_BUDGET = 100_000L
+        private const val MAX_BODY_BYTES = 2_000
+        private const val MAX_PAUSE_MILLIS = 60L
+        private val RETRY_DELAY = 100.milliseconds
+        private val CONNECT_TIMEOUT = 1.seconds
+
+        /** The deadline that [SampleDocuments] gives a call, and some time for its answer. */
+        private val TIMEOUT: Duration = 5_500.milliseconds
+
+        /** Starts [count] callers, which send calls until their job is cancelled. */
+        fun start(
+            count: Int,
+            seed: Long,
+            deployment: Deployment,
+            observations: Observations,
+            scope: CoroutineScope,
+        ): List<Pair<Caller, Job>> =
+            List(count) { number ->
+                val caller = Caller(number, Random(seed).nextLong() + number, deployment, observations)
+                caller to scope.launch { caller.run() }
+            }
+
+        private fun dataOf(stream: ByteArray): List<String> =
+            stream
+                .decodeToString()
+                .split("\n\n")
+                .dropLast(1)
+                .map { it.substringAfter("data: ") }
+    }
+}
+
+/** The tokens of one program that its caller received. */
+internal class TokenAccount(
+    val program: String,
+    val budget: Long,
+) {
+    private var spent = 0L
+
+    /** Counts the [events] of [attempt] and checks that the program did not receive more than its budget allows. */
+    fun spend(
+        attempt: Attempt,
+        events: Int,
+        observations: Observations,
+    ) {
+        spent += events * TOKENS_PER_EVENT
+        if (spent > budget + MAX_TURN_TOKENS) {
+            val detail = "${observations.describe(attempt)}: $spent tokens of a budget of $budget"
+            observations.report(Rule.BUDGET, attempt.id, detail)
+        }
+    }
+
+    private companion object {
+        const val TOKENS_PER_EVENT = 10L
+
+        /** The most tokens of one turn of an [Upstream]. */
+        const val MAX_TURN_TOKENS = 120L
+    }
+}
--- /dev/null
+++ b/soak/src/main/kotlin/sycamore/soak/FaultInjector.kt
@@ -0,0 +1,159 @@
+package sycamore.soak
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import sycamore.platform.StoreKeys
+import sycamore.standins.KeyValueFaults
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/** Injects faults into [deployment] in an order that the seed of [plan] determines. Faults overlap. */
+internal class FaultInjector(
+    private val plan: SoakPlan,
+    private val deployment: Deployment,
+    private val log: FaultLog,
+) {
+    private val random = Random(plan.seed)
+    private val locks = deployment.daemons.associateWith { Mutex() }
+
+    /** Injects faults for the length of the plan, and returns when all have ended. */
+    suspend fun run() {
+        val begin = TimeSource.Monotonic.markNow()
+        deployment.upstreams.forEach { it.faults = plan.upstreamFaults }
+        coroutineScope {
+            while (begin.elapsedNow() < plan.length) {
+                delay(random.nextLong(MAX_GAP_MILLIS).milliseconds)
+                if (plan.outsideFaults.isNotEmpty()) inject(plan.outsideFaults.random(random))
+            }
+        }
+        deployment.upstreams.forEach { it.faults = emptyList() }
+    }
+
+    /** Chooses the details of [fault] at once, so that they depend on the seed only, and lets it run. */
+    private fun CoroutineScope.inject(fault: OutsideFault) {
+        val length = random.nextLong(MIN_FAULT_MILLIS, MAX_FAULT_MILLIS).milliseconds
+        val series = if (random.nextInt(SERIES_ONE_IN) == 0) 1 + random.nextInt(deployment.daemons.size) else 1
+        val targets = deployment.daemons.shuffled(random).take(series)
+        when (fault) {
+            OutsideFault.TERMINATE -> targets.forEach { stopAndStart(fault, it, length, it::terminate) }
+            OutsideFault.KILL -> targets.forEach { stopAndStart(fault, it, length, it::kill) }
+            OutsideFault.FREEZE -> targets.forEach { freeze(it, length) }
+            OutsideFault.RELOAD -> targets.forEach { launch { log.record(fault, it) { it.signal("HUP") } } }
+            OutsideFault.CONFIGURE -> configure(random.nextBoolean())
+            OutsideFault.STORE -> disturbStore(storeFaults.random(random), targets, length)
+            OutsideFault.UPSTREAMS -> changeUpstreams(length)
+        }
+    }
+
+    private fun CoroutineScope.stopAndStart(
+        fault: OutsideFault,
+        target: Daemon,
+        length: Duration,
+        stop: () -> Unit,
+    ) {
+        launch {
+            locks.getValue(target).withLock {
+                log.record(fault, target) {
+                    stop()
+                    delay(length)
+                    target.start()
+                }
+            }
+        }
+    }
+
+    private fun CoroutineScope.freeze(
+        target: Daemon,
+        length: Duration,
+    ) {
+        launch {
+            locks.getValue(target).withLock {
+                log.record(OutsideFault.FREEZE, target) {
+                    target.signal("STOP")
+                    delay(length)
+                    target.signal("CONT")
+                }
+            }
+        }
+    }
+
+    private fun CoroutineScope.configure(hasExtraRoute: Boolean) {
+        launch { log.record(OutsideFault.CONFIGURE, target = null) { deployment.configure(hasExtraRoute) } }
+    }
+
+    private fun CoroutineScope.disturbStore(
+        faults: KeyValueFaults,
+        targets: List<Daemon>,
+        length: Duration,
+    ) {
+        for (target in targets) {
+            launch {
+                val store = deployment.stores.getValue(target)
+                log.record(OutsideFault.STORE, target) {
+                    store.setFaults(faults)
+                    delay(length)
+                    store.setFaults(KeyValueFaults())
+                }
+            }
+        }
+    }
+
+    /** Restarts an upstream under another id, lets registrations lapse, or writes entries that name no upstream. */
+    private fun CoroutineScope.changeUpstreams(length: Duration) {
+        val targets = deployment.upstreams.shuffled(random).take(1 + random.nextInt(2))
+        val odd = deployment.oddEntries().shuffled(random).take(ODD_ENTRIES)
+        when (random.nextInt(UPSTREAM_CHANGES)) {
+            0 -> launch { log.record(OutsideFault.UPSTREAMS, target = null) { targets.forEach(Upstream::restart) } }
+            1 -> launch { log.record(OutsideFault.UPSTREAMS, target = null) { lapse(targets, length) } }
+            else -> launch { odd.forEach { putOddEntries(it, length) } }
+        }
+    }
+
+    private suspend fun lapse(
+        targets: List<Upstream>,
+        length: Duration,
+    ) {
+        deployment.lapsed += targets
+        delay(LAPSE_TIME + length)
+        deployment.lapsed -= targets.toSet()
+    }
+
+    private suspend fun putOddEntries(
+        entry: ByteArray,
+        length: Duration,
+    ) {
+        val key = StoreKeys.UPSTREAMS + "odd" + entry.size
+        deployment.put(key, entry)
+        delay(length / ODD_ENTRIES)
+        deployment.put(key, entry + entry)
+        deployment.put(key, null)
+    }
+
+    private companion object {
+        const val MAX_GAP_MILLIS = 1_500L
+        const val MIN_FAULT_MILLIS = 200L
+        const val MAX_FAULT_MILLIS = 4_000L
+
+        /** One fault of this many affects several daemons. */
+        const val SERIES_ONE_IN = 4
+        const val UPSTREAM_CHANGES = 3
+        const val ODD_ENTRIES = 3
+        val LAPSE_TIME = 3.seconds
+
+        val storeFaults =
+            listOf(
+                KeyValueFaults(down = true),
+                KeyValueFaults(delay = 700.milliseconds),
+                KeyValueFaults(delay = 30.seconds),
+                KeyValueFaults(lostAnswers = 3),
+                KeyValueFaults(callsPerSecond = 2.0),
+            )
+    }
+}
--- /dev/null
+++ b/soak/src/main/kotlin/sycamore/soak/FaultLog.kt
@@ -0,0 +1,77 @@
+package sycamore.soak
+
+import java.util.concurrent.ConcurrentLinkedQueue
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/** The kinds of faults from outside a daemon. Those that are planned must not cut off any request. */
+internal enum class OutsideFault(
+    val isPlanned: Boolean,
+) {
+    TERMINATE(true),
+    RELOAD(true),
+    CONFIGURE(true),
+    KILL(false),
+    FREEZE(false),
+    STORE(false),
+    UPSTREAMS(false),
+}
+
+/** Records which faults were in effect when. Safe for use by several threads. */
+internal class FaultLog(
+    private val time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+) {
+    private class Entry(
+        val fault: OutsideFault,
+        val target: Daemon?,
+        val from: ComparableTimeMark,
+    ) {
+        @Volatile
+        var until: ComparableTimeMark? = null
+    }
+
+    private val entries = ConcurrentLinkedQueue<Entry>()
+
+    val counts: Map<OutsideFault, Int> get() = entries.groupingBy { it.fault }.eachCount()
+
+    /** Runs [act] while [fault] is recorded as in effect on [target]; a null target means the whole deployment. */
+    suspend fun record(
+        fault: OutsideFault,
+        target: Daemon?,
+        act: suspend () -> Unit,
+    ) {
+        val entry = Entry(fault, target, time.markNow()).also { entries += it }
+        try {
+            act()
+        } finally {
+            entry.until = time.markNow()
+        }
+    }
+
+    /** Whether an unplanned fault may have cut off [attempt]. */
+    fun wasDisrupted(attempt: Attempt): Boolean = inEffect(attempt).any { !it.fault.isPlanned }
+
+    /** Whether the gateway of [attempt] was stopped, reloaded or configured during it. */
+    fun wasPlanned(attempt: Attempt): Boolean = inEffect(attempt).any { it.fault.isPlanned }
+
+    private fun inEffect(attempt: Attempt) =
+        entries.filter { entry ->
+            val until = entry.until
+            (until == null || until + SETTLING_TIME > attempt.at) && concerns(entry, attempt)
+        }
+
+    /** Turns depend on all daemons, other calls only on their gateway. */
+    private fun concerns(
+        entry: Entry,
+        attempt: Attempt,
+    ) = entry.target == null ||
+        entry.target === attempt.gateway ||
+        (attempt.kind == CallKind.TURN && !(entry.fault.isPlanned && entry.target.role == Role.GATEWAY))
+
+    private companion object {
+        /** The time after a fault during which its effects do not count. */
+        val SETTLING_TIME: Duration = 4.seconds
+    }
+}
--- /dev/null
+++ b/soak/src/main/kotlin/sycamore/soak/FaultSoak.kt
@@ -0,0 +1,119 @@
+package sycamore.soak
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.delay
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/**
+ * The result of one run.
+ *
+ * @property answers the number of answers by status; 0 counts attempts without a response.
+ */
+internal data class SoakResult(
+    val seed: Long,
+    val answers: Map<Int, Int>,
+    val runs: Int,
+    val faults: Map<OutsideFault, Int>,
+    val violations: List<Violation>,
+) {
+    override fun toString(): String =
+        "fault-soak: seed=$seed answers=${answers.toSortedMap()} runs=$runs faults=$faults violations=" +
+            violations.groupingBy { it.rule }.eachCount()
+}
+
+/** Runs the daemons under faults and checks what callers and upstreams see. */
+internal class FaultSoak(
+    private val plan: SoakPlan,
+) {
+    private val faults = FaultLog()
+    private val observations = Observations(faults)
+
+    suspend fun run(): SoakResult {
+        plan.folder.deleteRecursively()
+        plan.folder.mkdirs()
+        val scope = CoroutineScope(Dispatchers.IO.limitedParallelism(THREADS) + SupervisorJob())
+        val deployment = Deployment(plan, observations, scope)
+        try {
+            deployment.start()
+            awaitService(deployment, "at the start", firstProbe = FIRST_PROBE)
+            val callers = Caller.start(plan.callers, plan.seed, deployment, observations, scope)
+            FaultInjector(plan, deployment, faults).run()
+            val continued = callers.mapNotNull { (caller) -> caller.lastTurn }
+            awaitService(deployment, "after the faults", firstProbe = FIRST_PROBE + deployment.gateways.size, continued)
+            callers.forEach { (_, job) -> job.cancelAndJoin() }
+        } finally {
+            deployment.stop()
+            scope.cancel()
+        }
+        val result =
+            SoakResult(plan.seed, observations.answers, observations.runCount, faults.counts, observations.violations)
+        ViolationReport(plan.folder, deployment.daemons).write(result.violations)
+        return result
+    }
+
+    /** Checks that each gateway serves each kind of call again, and continues [turns]. */
+    private suspend fun awaitService(
+        deployment: Deployment,
+        moment: String,
+        firstProbe: Int,
+        turns: List<CompleteTurn> = emptyList(),
+    ) = kotlinx.coroutines.coroutineScope {
+        deployment.gateways
+            .mapIndexed { index, gateway ->
+                async(Dispatchers.IO) {
+                    val caller = Caller(firstProbe + index, plan.seed + index, deployment, observations)
+                    for (kind in CallKind.entries) {
+                        val isServed =
+                            awaitTrue {
+                                caller.changeGateway(gateway)
+                                if (kind ==
+                                    CallKind.TURN
+                                ) {
+                                    probeTurn(caller, turns.getOrNull(index))
+                                } else {
+                                    caller.call(kind)
+                                }
+                            }
+                        if (isServed) continue
+                        observations.report(Rule.RECOVER, gateway.name, "$kind is not served $moment")
+                    }
+                }
+            }.awaitAll()
+    }
+
+    private suspend fun probeTurn(
+        caller: Caller,
+        previous: CompleteTurn?,
+    ): Boolean = caller.turn(TokenAccount("probe${nextProbe++}", PROBE_BUDGET), previous) != null
+
+    private var nextProbe = 0
+
+    private suspend fun awaitTrue(test: suspend () -> Boolean): Boolean {
+        val begin = TimeSource.Monotonic.markNow()
+        while (begin.elapsedNow() < RECOVERY_TIME) {
+            if (test()) return true
+            delay(PROBE_INTERVAL)
+        }
+        return false
+    }
+
+    private companion object {
+        const val THREADS = 1_024
+
+        /** The number of the first caller of probes, above those of all other callers. */
+        const val FIRST_PROBE = 10_000
+        const val PROBE_BUDGET = 100_000L
+        val PROBE_INTERVAL = 200.milliseconds
+
+        /** Generous, so that a busy machine does not fail the check. */
+        val RECOVERY_TIME = 40.seconds
+    }
+}
--- /dev/null
+++ b/soak/src/main/kotlin/sycamore/soak/Main.kt
@@ -0,0 +1,72 @@
+package sycamore.soak
+
+import kotlinx.cli.ArgType
+import kotlinx.cli.default
+import kotlinx.coroutines.runBlocking
+import sycamore.daemon.Program
+import java.io.File
+import kotlin.system.exitProcess
+import kotlin.time.Duration.Companion.seconds
+
+/** Entry point of `sycamore-fault-soak`: runs the daemons under faults for each seed of a range. */
+fun main(args: Array<String>) {
+    val parser = Program.parser("sycamore-fault-soak", args)
+    val seeds by parser.option(ArgType.String, "seeds", description = "Seeds, such as 1..50 or 7").default("1")
+    val length by parser.option(ArgType.Int, "seconds", description = "Seconds under faults").default(DEFAULT_SECONDS)
+    val hosts by parser.option(ArgType.Int, "hosts", description = "Gateways, and homes").default(DEFAULT_HOSTS)
+    val daemons by parser.option(ArgType.String, "daemons", description = "Class path of the daemons to test")
+    val folder by parser
+        .option(
+            ArgType.String,
+            "folder",
+            description = "Folder of results",
+        ).default("target/fault-soak")
+    val upstream by parser.option(ArgType.String, "upstream-faults", description = "Names, all or none").default("all")
+    val outside by parser.option(ArgType.String, "outside-faults", description = "Names, all or none").default("all")
+    parser.parse(args)
+    val plans =
+        range(seeds).map { seed ->
+            SoakPlan(
+                seed,
+                length.seconds,
+                hosts,
+                daemons ?: System.getProperty("java.class.path"),
+                File(folder).absoluteFile.resolve("seed-$seed"),
+                select(upstream, UpstreamFault.entries),
+                select(outside, OutsideFault.entries),
+            )
+        }
+    val results = plans.map { plan -> runBlocking { FaultSoak(plan).run() }.also(::show) }
+    exitProcess(if (results.any { it.violations.isNotEmpty() }) Program.EXIT_FAILED else 0)
+}
+
+private fun show(result: SoakResult) {
+    println(result)
+    result.violations.take(MAX_SHOWN).forEach { println("  $it") }
+}
+
+private fun range(text: String): LongRange {
+    val first = text.substringBefore("..").toLongOrNull()
+    val last = text.substringAfter("..").toLongOrNull()
+    if (first != null && last != null) return first..last
+    Program.fail(Program.EXIT_MISUSE, "expected seeds such as 1..50, found '$text'")
+}
+
+private fun <T : Enum<T>> select(
+    names: String,
+    all: List<T>,
+): List<T> =
+    when (names) {
+        "all" -> all
+        "none" -> emptyList()
+        else -> names.split(',').map { name -> all.find { it.name.equals(name, true) } ?: misuse(name, all) }
+    }
+
+private fun misuse(
+    name: String,
+    all: List<Any>,
+): Nothing = Program.fail(Program.EXIT_MISUSE, "expected names out of $all, found '$name'")
+
+private const val DEFAULT_SECONDS = 20
+private const val DEFAULT_HOSTS = 3
+private const val MAX_SHOWN = 10
--- /dev/null
+++ b/soak/src/main/kotlin/sycamore/soak/Observations.kt
@@ -0,0 +1,147 @@
+package sycamore.soak
+
+import sycamore.platform.SampleDocuments
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.TimeSource
+
+/** What callers and upstreams saw, and the violations found in it. Safe for use by several threads. */
+internal class Observations(
+    private val faults: FaultLog,
+) {
+    private val attempts = ConcurrentHashMap<String, Attempt>()
+    private val found = ConcurrentLinkedQueue<Violation>()
+    private val unplannedCuts = AtomicInteger()
+    private val start = TimeSource.Monotonic.markNow()
+
+    val violations: List<Violation> get() = found.toList()
+
+    /** The number of answers by status; 0 counts attempts without a response. */
+    val answers = ConcurrentHashMap<Int, Int>()
+    val runCount: Int get() = attempts.values.sumOf { it.runs.size }
+
+    fun report(
+        rule: Rule,
+        subject: String,
+        detail: String,
+    ) {
+        found += Violation(rule, subject, start.elapsedNow().inWholeMilliseconds, detail)
+    }
+
+    fun begin(attempt: Attempt) {
+        attempts[attempt.id] = attempt
+    }
+
+    /** Records that [upstream] starts to run the request [id], and checks that it may. */
+    fun recordRun(
+        id: String,
+        path: String,
+        prompt: String,
+        run: Run,
+    ) {
+        val attempt = attempts[id] ?: return report(Rule.UNASKED, id, "${run.upstream} runs an id that no caller sent")
+        if (path != attempt.path || prompt != attempt.prompt) {
+            val found = "$path with ${prompt.length} bytes ...${prompt.takeLast(SHOWN)}"
+            val expected = "${attempt.path} with ${attempt.prompt.length} bytes ...${attempt.prompt.takeLast(SHOWN)}"
+            report(Rule.UNASKED, id, "${run.upstream} received $found, expected $expected")
+        }
+        synchronized(attempt) {
+            attempt.runs += run
+            if (attempt.kind == CallKind.REPEATABLE) return
+            if (attempt.runs.size > 1) report(Rule.TWICE, id, "${describe(attempt)} ran ${attempt.runs.size} times")
+            attempt.promise?.let { report(Rule.REFUSED, id, "${describe(attempt)} runs after it was answered $it") }
+        }
+    }
+
+    /**
+     * Records the [response] to [attempt], null if the connection ended without one, and checks it. Returns whether it
+     * is a complete success, with a body that is a run's.
+     */
+    fun recordResponse(
+        attempt: Attempt,
+        response: ReceivedResponse?,
+        isTimeout: Boolean,
+    ): Boolean {
+        val status = response?.head?.status ?: 0
+        answers.merge(status, 1, Int::plus)
+        if (response == null || !response.isComplete) {
+            if (!isTimeout) checkCut(attempt)
+            if (response == null) return false
+        }
+        val id = SampleDocuments.requestId(response.head.headers)
+        if (id != null && id != attempt.id) {
+            report(Rule.MIXED, attempt.id, "${describe(attempt)}: the response belongs to $id")
+        }
+        if (status in attempt.kind.promises) checkPromise(attempt, status)
+        if (status in DENIALS) report(Rule.DENIED, attempt.id, "${describe(attempt)}: status $status")
+        return status in SUCCESSES && checkBody(attempt, response)
+    }
+
+    private fun checkPromise(
+        attempt: Attempt,
+        status: Int,
+    ) {
+        synchronized(attempt) {
+            attempt.promise = status
+            if (attempt.kind == CallKind.REPEATABLE || attempt.runs.isEmpty()) return
+            report(Rule.REFUSED, attempt.id, "${describe(attempt)} was answered $status and ran")
+        }
+    }
+
+    private fun checkBody(
+        attempt: Attempt,
+        response: ReceivedResponse,
+    ): Boolean {
+        val isStream = attempt.kind == CallKind.TURN
+        val body = response.body
+        if (!response.isComplete) {
+            if (isStream && attempt.runs.none { startsWith(it.body, body) }) {
+                report(Rule.ORDER, attempt.id, "${describe(attempt)}: ${body.size} bytes are no part of a run's stream")
+            }
+            return false
+        }
+        if (!SampleDocuments.isSigned(response.head.headers)) {
+            report(Rule.MIXED, attempt.id, "${describe(attempt)}: a success without a signature")
+        }
+        if (attempt.runs.any { it.isWritten && it.body.contentEquals(body) }) return true
+        val rule = if (isStream) Rule.ORDER else Rule.MIXED
+        val run = attempt.runs.firstOrNull { startsWith(it.body, body) }
+        val what = if (run == null) "is not the body of a run" else "is framed as complete, and the run's is not"
+        report(rule, attempt.id, "${describe(attempt)}: a body of ${body.size} bytes $what")
+        return false
+    }
+
+    /** Checks whether an attempt may end without a complete response. */
+    private fun checkCut(attempt: Attempt) {
+        val runs = attempt.runs
+        if (runs.isEmpty() || runs.any { it.fault != null || !it.isConnectionClean }) return
+        if (faults.wasDisrupted(attempt)) return
+        val detail = "${describe(attempt)}: the connection ended without a complete response"
+        when {
+            faults.wasPlanned(attempt) -> report(Rule.LOST, attempt.id, "$detail, during planned work")
+            unplannedCuts.incrementAndGet() > MAX_CUTS -> report(Rule.LOST, attempt.id, detail)
+        }
+    }
+
+    fun describe(attempt: Attempt): String {
+        val runs = attempt.runs.joinToString { "${it.upstream}${it.fault?.let { f -> " $f" } ?: ""}" }
+        return "${attempt.kind} ${attempt.id} at ${attempt.gateway.name}, runs [$runs]"
+    }
+
+    private companion object {
+        val SUCCESSES = 200..299
+
+        /** Statuses that end a proper request for good although every configuration allows it. */
+        val DENIALS = setOf(400, 401, 403, 413, 431)
+        const val SHOWN = 60
+
+        /** The number of connections that may end without a response while nothing is disrupted. */
+        const val MAX_CUTS = 3
+
+        fun startsWith(
+            whole: ByteArray,
+            part: ByteArray,
+        ): Boolean = part.size <= whole.size && whole.copyOf(part.size).contentEquals(part)
+    }
+}
