A complete answer outweighs a broken end of the same turn

Callers got 404 for the turn before, although its answer had been complete.

An engine answered 421 at one home, which recorded the turn as broken. The gateway sent the turn to another home, which ran it and at that moment took over the first one. The adopted record ended the running turn, and the record of its complete answer changed nothing. The successor of a home whose log has both ends could lose the turn in the same way, as the end that it read first held.

A complete answer now holds whichever end is read first; a turn is sent to another home only after it was refused, so a broken end of another home says nothing about it. The new test and the property test, which now has turns with both ends, fail without the change.

--- a/turns/src/main/kotlin/sycamore/turns/ProgramTurns.kt
+++ b/turns/src/main/kotlin/sycamore/turns/ProgramTurns.kt
@@ -147,6 +147,7 @@
         earlyEnds.remove(record.turn)?.let(::apply)
     }
 
+    /** Ends a turn. A complete answer outweighs a broken end of the same turn, in either order. */
     private fun end(
         record: TurnEnd,
         tokens: Long,
@@ -154,15 +155,17 @@
     ) {
         val turn = turns[record.turn]
         if (turn == null) {
-            earlyEnds[record.turn] = record
+            if (earlyEnds[record.turn] !is TurnFinished) earlyEnds[record.turn] = record
             return
         }
-        if (!turn.isOpen) return
+        // An engine may refuse a turn at one home before it runs at another, whose log then has both ends.
+        val isOutweighed = !turn.isOpen && turn.output == null && output != null
+        if (!turn.isOpen && !isOutweighed) return
+        if (turn.isOpen) reserved -= turn.reserved
         turn.isOpen = false
         turn.output = output
+        spent += tokens - turn.tokens
         turn.tokens = tokens
-        reserved -= turn.reserved
-        spent += tokens
     }
 
     /**
--- a/turns/src/test/kotlin/sycamore/turns/TurnTableTest.kt
+++ b/turns/src/test/kotlin/sycamore/turns/TurnTableTest.kt
@@ -97,6 +97,21 @@
         assertEquals(TurnStart.Repeated, start(request("a")))
     }
 
+    /**
+     * Guards against a turn that is lost because an engine refused it at another home before, whose records are adopted
+     * while the turn runs at this one.
+     */
+    @Test
+    fun `a turn that was refused at a lost home and completed at this one can be continued`() {
+        start(request("a"))
+        table.apply(TurnBroken(program, AttemptId("a"), tokens = 0))
+        finish("a", tokens = 10)
+        assertEquals("in-a;out-a\n", table.promptAfter(AttemptId("a"))?.decodeToString())
+        assertEquals(10, table.committedTokens(program))
+        table.apply(TurnBroken(program, AttemptId("a"), tokens = 0))
+        assertEquals("in-a;out-a\n", table.promptAfter(AttemptId("a"))?.decodeToString())
+    }
+
     @Test
     fun `a program may continue a turn of another program, and each has its own budget`() {
         start(request("a"))
@@ -156,16 +171,17 @@
             val turn = AttemptId("t$number")
             val previous = complete.randomOrNull(random)
             val started = TurnStarted(program, turn, previous, "i$number".encodeToByteArray(), reserved = 30)
-            val end =
-                when (random.nextInt(3)) {
-                    0 -> null
-                    1 -> TurnBroken(program, turn, random.nextLong(30))
-                    else ->
-                        TurnFinished(program, turn, "o$number".encodeToByteArray(), random.nextLong(30)).also {
-                            complete += turn
-                        }
+            val broken = TurnBroken(program, turn, random.nextLong(30))
+            val finished = TurnFinished(program, turn, "o$number".encodeToByteArray(), random.nextLong(30))
+            val ends =
+                when (random.nextInt(4)) {
+                    0 -> emptyList()
+                    1 -> listOf(broken)
+                    2 -> listOf(finished)
+                    else -> listOf(broken, finished)
                 }
-            listOfNotNull(started, end)
+            if (finished in ends) complete += turn
+            listOf(started) + ends
         }
     }
 }
