Handle SIGHUP before a daemon loads its parts

A daemon that got SIGHUP while it started ended with code 129. The handler was installed only after the clients of the store and of the links had been loaded.

The handler is now the first thing that a daemon installs. A signal that arrives before the settings are in use takes effect then. A signal that arrives before the JVM runs any code still ends it.

--- a/forwarding/src/main/kotlin/sycamore/forwarding/PlatformDaemon.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/PlatformDaemon.kt
@@ -8,7 +8,6 @@
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.http4k.core.Status
-import sun.misc.Signal
 import sycamore.daemon.Http
 import sycamore.daemon.HttpLimits
 import sycamore.daemon.Metrics
@@ -61,8 +60,6 @@
 
     init {
         LogContext.setHost(settings.name)
-        // The platform sends SIGHUP when the settings file has changed. Without a handler, the JVM would exit.
-        Signal.handle(Signal("HUP")) { reload() }
         log.event(
             "daemon-starts",
             "version" to Program.VERSION,
@@ -71,6 +68,8 @@
             "links" to settings.links,
             "store" to settings.store.address,
         )
+        ReloadSignal.handle()
+        ReloadSignal.onReload(::reload)
     }
 
     /**
@@ -178,12 +177,13 @@
 
         /**
          * Returns the port for metrics from the command line [args] of the binary [name], or exits the process if it is
-         * invalid.
+         * invalid. A daemon calls this first, so that a SIGHUP during its start does not end it.
          */
         fun metricsPort(
             name: String,
             args: Array<String>,
         ): Int {
+            ReloadSignal.handle()
             val parser = Program.parser(name, args)
             val port by parser
                 .option(ArgType.Int, "metrics-port", "m", "port at which metrics are read")
