--- a/soak/src/main/kotlin/sycamore/soak/Callers.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Caller.kt
@@ -1,11 +1,8 @@
 package sycamore.soak
 
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Job
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
-import kotlinx.coroutines.launch
 import sycamore.platform.Header
 import sycamore.platform.SampleDocuments
 import java.io.IOException
@@ -15,16 +12,6 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
-/**
- * A complete turn.
- *
- * @property chain the inputs and outputs of the turn and all turns before it.
- */
-internal class CompleteTurn(
-    val id: String,
-    val chain: String,
-)
-
 /** One caller, which sends calls and programs over a connection that it keeps as long as it can. */
 internal class Caller(
     private val number: Int,
@@ -102,9 +89,12 @@
             val (response, isServed) = send(attempt, headers, input)
             val status = response?.head?.status ?: 0
             val data = if (response != null && status in SUCCESSES) dataOf(response.body) else emptyList()
-            account.spend(attempt, data.size, observations)
+            if (account.isOverspentBy(data.size)) {
+                val detail = "${observations.describe(attempt)} exceeds the budget of ${account.budget} tokens"
+                observations.report(Rule.BUDGET, attempt.id, detail)
+            }
             if (isServed) {
-                return CompleteTurn(attempt.id, attempt.prompt + data.joinToString("") { "$it\n" })
+                return CompleteTurn(attempt.id, attempt.prompt + data.joinToString("") { "$it\n" }, account)
             }
             if (previous != null && status in GONE) {
                 val detail = "${observations.describe(attempt)}: $status, though ${previous.id} was answered completely"
@@ -160,41 +150,28 @@
         gateway = to
     }
 
-    companion object {
-        private val SUCCESSES = 200..299
-        private val GONE = setOf(404, 410)
+    private companion object {
+        val SUCCESSES = 200..299
+        val GONE = setOf(404, 410)
 
         /** Statuses after which no attempt follows. */
-        private val FINAL = setOf(400, 401, 403, 404, 410, 413, 431)
-        private const val KINDS = 6
-        private const val MAX_ATTEMPTS = 4
-        private const val MAX_TURNS = 6
-        private const val BRANCH_ONE_IN = 6
-        private const val SMALL_BUDGET_ONE_IN = 5
-        private const val SMALL_BUDGET = 150L
-        private const val LARGE_BUDGET = 100_000L
-        private const val MAX_BODY_BYTES = 2_000
-        private const val MAX_PAUSE_MILLIS = 60L
-        private val RETRY_DELAY = 100.milliseconds
-        private val CONNECT_TIMEOUT = 1.seconds
+        val FINAL = setOf(400, 401, 403, 404, 410, 413, 431)
+        const val KINDS = 6
+        const val MAX_ATTEMPTS = 4
+        const val MAX_TURNS = 6
+        const val BRANCH_ONE_IN = 6
+        const val SMALL_BUDGET_ONE_IN = 5
+        const val SMALL_BUDGET = 150L
+        const val LARGE_BUDGET = 100_000L
+        const val MAX_BODY_BYTES = 2_000
+        const val MAX_PAUSE_MILLIS = 60L
+        val RETRY_DELAY = 100.milliseconds
+        val CONNECT_TIMEOUT = 1.seconds
 
         /** The deadline that [SampleDocuments] gives a call, and some time for its answer. */
-        private val TIMEOUT: Duration = 5_500.milliseconds
-
-        /** Starts [count] callers, which send calls until their job is cancelled. */
-        fun start(
-            count: Int,
-            seed: Long,
-            deployment: Deployment,
-            observations: Observations,
-            scope: CoroutineScope,
-        ): List<Pair<Caller, Job>> =
-            List(count) { number ->
-                val caller = Caller(number, Random(seed).nextLong() + number, deployment, observations)
-                caller to scope.launch { caller.run() }
-            }
+        val TIMEOUT: Duration = 5_500.milliseconds
 
-        private fun dataOf(stream: ByteArray): List<String> =
+        fun dataOf(stream: ByteArray): List<String> =
             stream
                 .decodeToString()
                 .split("\n\n")
@@ -202,31 +179,3 @@
                 .map { it.substringAfter("data: ") }
     }
 }
-
-/** The tokens of one program that its caller received. */
-internal class TokenAccount(
-    val program: String,
-    val budget: Long,
-) {
-    private var spent = 0L
-
-    /** Counts the [events] of [attempt] and checks that the program did not receive more than its budget allows. */
-    fun spend(
-        attempt: Attempt,
-        events: Int,
-        observations: Observations,
-    ) {
-        spent += events * TOKENS_PER_EVENT
-        if (spent > budget + MAX_TURN_TOKENS) {
-            val detail = "${observations.describe(attempt)}: $spent tokens of a budget of $budget"
-            observations.report(Rule.BUDGET, attempt.id, detail)
-        }
-    }
-
-    private companion object {
-        const val TOKENS_PER_EVENT = 10L
-
-        /** The most tokens of one turn of an [Upstream]. */
-        const val MAX_TURN_TOKENS = 120L
-    }
-}
--- a/soak/src/main/kotlin/sycamore/soak/Daemon.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Daemon.kt
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 
 /** The daemons on the platform. */
 internal enum class Role(
@@ -44,9 +45,14 @@
         val builder = ProcessBuilder(command).redirectErrorStream(true)
         builder.environment()["SYCAMOREGW_NODE_FILE"] = settings.toString()
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log))
+        val begin = TimeSource.Monotonic.markNow()
         val started = builder.start()
         process = started
-        started.onExit().thenAccept { if (!isStopping && process === it) onUnexpectedExit(this, it.exitValue()) }
+        started.onExit().thenAccept {
+            if (isStopping || process !== it) return@thenAccept
+            if (begin.elapsedNow() > BOOT_TIME) onUnexpectedExit(this, it.exitValue())
+            start()
+        }
     }
 
     /** Ends the process without warning. */
@@ -73,6 +79,9 @@
 
     private companion object {
         val GRACE_PERIOD: Duration = 8.seconds
+
+        /** A signal within this time of the start may end the JVM, which has no handlers yet. */
+        val BOOT_TIME: Duration = 1.seconds
         val JAVA = Path.of(System.getProperty("java.home"), "bin", "java").toString()
         val FLAGS =
             "-Xmx96m -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:-UsePerfData -Dsycamore.platform.logs=true"
--- a/soak/src/main/kotlin/sycamore/soak/Deployment.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Deployment.kt
@@ -19,9 +19,12 @@
 import sycamore.services.Revision
 import sycamore.standins.FaultyKeyValue
 import sycamore.standins.KeyValueStore
+import java.io.IOException
+import java.net.InetAddress
 import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.nio.file.Files
+import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -59,11 +62,13 @@
             List(plan.hosts) { upstream("plain$it", Address("$network.${nextHost++}", PLAIN_PORT), isEngine = false) }
 
     /** The upstreams whose registration is not renewed at present. */
-    val lapsed: MutableSet<Upstream> = HashSet<Upstream>().let(java.util.Collections::synchronizedSet)
+    val lapsed: MutableSet<Upstream> = ConcurrentHashMap.newKeySet()
 
     private var version = 0
 
     suspend fun start() {
+        // Ends the daemons with the soak, also when it is interrupted.
+        Runtime.getRuntime().addShutdownHook(Thread { daemons.forEach(Daemon::kill) })
         configure(hasExtraRoute = false)
         upstreams.forEach(Upstream::start)
         scope.launch { renewRegistrations() }
@@ -140,11 +145,8 @@
                 .takeIf { role == Role.RETAINER }
                 ?.apply { mkdirs() }
         val settings = plan.folder.resolve("$name.toml")
-        val listeners =
-            SampleDocuments.callerSettings(Address(ip, CALLERS_PORT), Address(ip, READINESS_PORT)).takeIf {
-                role ==
-                    Role.GATEWAY
-            }
+        val isGateway = role == Role.GATEWAY
+        val listeners = SampleDocuments.callerSettings(Address(ip, CALLERS_PORT), Address(ip, READINESS_PORT))
         val engine = Address(ip, ENGINE_PORT).takeIf { role == Role.HOME }
         Files.writeString(
             settings.toPath(),
@@ -155,14 +157,13 @@
                 engine,
                 store,
                 data?.absolutePath,
-                listeners.orEmpty(),
+                if (isGateway) listeners else "",
             ),
         )
         val log = plan.folder.resolve("$name.log")
         val daemon =
             Daemon(name, role, ip, settings.toPath(), log, plan.classPath) { ended, code ->
                 observations.report(Rule.EXIT, ended.name, "the process ended by itself with code $code")
-                ended.start()
             }
         val view = FaultyKeyValue(operator)
         stores[daemon] = view
@@ -218,9 +219,9 @@
 
         private fun isFree(ip: String): Boolean =
             try {
-                ServerSocket(STORE_PORT, 1, java.net.InetAddress.getByName(ip)).close()
+                ServerSocket(STORE_PORT, 1, InetAddress.getByName(ip)).close()
                 true
-            } catch (_: java.io.IOException) {
+            } catch (_: IOException) {
                 false
             }
 
--- a/soak/src/main/kotlin/sycamore/soak/FaultSoak.kt
+++ b/soak/src/main/kotlin/sycamore/soak/FaultSoak.kt
@@ -7,7 +7,9 @@
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
@@ -44,11 +46,12 @@
         try {
             deployment.start()
             awaitService(deployment, "at the start", firstProbe = FIRST_PROBE)
-            val callers = Caller.start(plan.callers, plan.seed, deployment, observations, scope)
+            val callers = List(plan.callers) { Caller(it, plan.seed * SEED_FACTOR + it, deployment, observations) }
+            val jobs = callers.map { scope.launch { it.run() } }
             FaultInjector(plan, deployment, faults).run()
-            val continued = callers.mapNotNull { (caller) -> caller.lastTurn }
-            awaitService(deployment, "after the faults", firstProbe = FIRST_PROBE + deployment.gateways.size, continued)
-            callers.forEach { (_, job) -> job.cancelAndJoin() }
+            val turns = callers.mapNotNull { it.lastTurn }.filter { it.account.budget >= PROBE_BUDGET }
+            awaitService(deployment, "after the faults", firstProbe = FIRST_PROBE + deployment.gateways.size, turns)
+            jobs.forEach { it.cancelAndJoin() }
         } finally {
             deployment.stop()
             scope.cancel()
@@ -65,7 +68,7 @@
         moment: String,
         firstProbe: Int,
         turns: List<CompleteTurn> = emptyList(),
-    ) = kotlinx.coroutines.coroutineScope {
+    ) = coroutineScope {
         deployment.gateways
             .mapIndexed { index, gateway ->
                 async(Dispatchers.IO) {
@@ -89,12 +92,11 @@
             }.awaitAll()
     }
 
+    /** Continues [previous] in its own program. */
     private suspend fun probeTurn(
         caller: Caller,
         previous: CompleteTurn?,
-    ): Boolean = caller.turn(TokenAccount("probe${nextProbe++}", PROBE_BUDGET), previous) != null
-
-    private var nextProbe = 0
+    ): Boolean = caller.turn(previous?.account ?: TokenAccount("probe", PROBE_BUDGET), previous) != null
 
     private suspend fun awaitTrue(test: suspend () -> Boolean): Boolean {
         val begin = TimeSource.Monotonic.markNow()
@@ -107,6 +109,7 @@
 
     private companion object {
         const val THREADS = 1_024
+        const val SEED_FACTOR = 1_000_003L
 
         /** The number of the first caller of probes, above those of all other callers. */
         const val FIRST_PROBE = 10_000
--- a/soak/src/main/kotlin/sycamore/soak/Upstream.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Upstream.kt
@@ -266,7 +266,7 @@
         private const val FAULTY_SHARE = 0.15
         private const val BACKLOG = 256
         private const val HEXADECIMAL = 16
-        private const val MAX_EVENTS = 12
+        const val MAX_EVENTS = 12
         private const val SMALL_BYTES = 4_000
         private const val LARGE_BYTES = 600_000
         private const val LARGE_ONE_IN = 20
--- a/soak/src/main/kotlin/sycamore/soak/ViolationReport.kt
+++ b/soak/src/main/kotlin/sycamore/soak/ViolationReport.kt
@@ -15,7 +15,9 @@
     private fun logLines(violation: Violation): String {
         val subject = violation.subject
         val name = Regex("(?<![a-z0-9.])${Regex.escape(subject)}(?![0-9.])")
-        return daemons
+        val named = daemons.filter { it.name == subject }
+        return named
+            .ifEmpty { daemons }
             .flatMap { daemon ->
                 val lines =
                     daemon.log
