--- a/turns/src/test/kotlin/sycamore/turns/TurnTableTest.kt
+++ b/turns/src/test/kotlin/sycamore/turns/TurnTableTest.kt
@@ -97,6 +97,21 @@
         assertEquals(TurnStart.Repeated, start(request("a")))
     }
 
+    /**
+     * Guards against a turn that is lost because an engine refused it at another home before, whose records are adopted
+     * while the turn runs at this one.
+     */
+    @Test
+    fun `a turn that was refused at a lost home and completed at this one can be continued`() {
+        start(request("a"))
+        table.apply(TurnBroken(program, AttemptId("a"), tokens = 0))
+        finish("a", tokens = 10)
+        assertEquals("in-a;out-a\n", table.promptAfter(AttemptId("a"))?.decodeToString())
+        assertEquals(10, table.committedTokens(program))
+        table.apply(TurnBroken(program, AttemptId("a"), tokens = 0))
+        assertEquals("in-a;out-a\n", table.promptAfter(AttemptId("a"))?.decodeToString())
+    }
+
     @Test
     fun `a program may continue a turn of another program, and each has its own budget`() {
         start(request("a"))
