--- a/forwarding/src/main/kotlin/sycamore/forwarding/UpstreamClient.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/UpstreamClient.kt
@@ -67,14 +67,10 @@
     ) : ResponseEvent
 
     /**
-     * The end of the body; the response is complete.
-     *
-     * @property isFramed whether the response declared the end of its body; false if only the close of the connection
-     *   marks it.
+     * The end of the body; the response is complete. The body of a response without a length or chunks ends with its
+     * connection, if that was closed in order.
      */
-    data class End(
-        val isFramed: Boolean,
-    ) : ResponseEvent
+    data object End : ResponseEvent
 }
 
 /**
@@ -199,14 +195,12 @@
         @Volatile
         var isShort = false
             private set
-        private var isFramed = true
 
         override fun onHeaders(response: Response) {
             if (HttpStatus.isInformational(response.status)) {
                 response.abort(IOException("the upstream sent an interim response (${response.status})"))
                 return
             }
-            isFramed = response.headers.contains("Content-Length") || response.headers.contains("Transfer-Encoding")
             val headers = response.headers.map { it.name to it.value.orEmpty() }
             val use = (response.request.connection as ClientConnection).use
             val head = CallHeaders.decodeResponse(response.status, headers)
@@ -234,7 +228,7 @@
         override fun onComplete(result: Result) {
             if (result.isSucceeded) {
                 isComplete = true
-                parts.trySend(Part(ResponseEvent.End(isFramed)))
+                parts.trySend(Part(ResponseEvent.End))
                 parts.close()
             } else {
                 val failure = result.failure
--- a/forwarding/src/test/kotlin/sycamore/forwarding/TruncatedResponseTest.kt
+++ b/forwarding/src/test/kotlin/sycamore/forwarding/TruncatedResponseTest.kt
@@ -1,5 +1,6 @@
 package sycamore.forwarding
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import kotlinx.coroutines.flow.collect
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
@@ -8,6 +9,7 @@
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.DynamicTest.dynamicTest
 import org.junit.jupiter.api.TestFactory
+import sycamore.routing.AttemptId
 import sycamore.standins.ConnectionEnd
 import sycamore.standins.RawServer
 import java.util.concurrent.CountDownLatch
@@ -103,8 +105,9 @@
         server: RawServer,
         onBytes: () -> Unit,
     ): String =
-        UpstreamClient().use { client ->
-            val request = UpstreamRequest(server.address, "POST", "/a", emptyList(), "a".encodeToByteArray())
+        UpstreamClient(SimpleMeterRegistry()).use { client ->
+            val request =
+                UpstreamRequest(AttemptId(ID), server.address, "POST", "/a", emptyList(), "a".encodeToByteArray())
             val body = StringBuilder()
             var ends = 0
             runBlocking {
@@ -134,12 +137,16 @@
             ends.flatMap { end ->
                 cases.map { (name, response) ->
                     dynamicTest("${client.name}, $end $name") {
-                        RawServer(end) { response.encodeToByteArray() }.use { check(client, it) }
+                        RawServer(end) { withId(response) }.use { check(client, it) }
                     }
                 }
             }
         }
 
+    /** The bytes of [response], whose head names the request after its status line. */
+    private fun withId(response: String): ByteArray =
+        response.replace(STATUS_LINE, "${STATUS_LINE}X-Request-Id: $ID\r\n").encodeToByteArray()
+
     @TestFactory
     fun `a response of which a part is missing fails`() = tests(truncated, ConnectionEnd.entries, ::assertFails)
 
@@ -171,7 +178,7 @@
     @Test
     fun `a response after an interim response fails`() {
         val response = "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcde"
-        RawServer(ConnectionEnd.CLOSE) { response.encodeToByteArray() }.use { server ->
+        RawServer(ConnectionEnd.CLOSE) { withId(response) }.use { server ->
             assertFailsWith<UpstreamException> { callUpstream(server) }
         }
     }
@@ -180,7 +187,7 @@
     @Test
     fun `a response without a length fails if its connection is reset after a part of it was read`() {
         val isRead = CountDownLatch(1)
-        RawServer(ConnectionEnd.RESET, isRead::await) { "${UNFRAMED}abc".encodeToByteArray() }.use { server ->
+        RawServer(ConnectionEnd.RESET, isRead::await) { withId("${UNFRAMED}abc") }.use { server ->
             assertFailsWith<UpstreamException> { callUpstream(server) { isRead.countDown() } }
         }
     }
@@ -188,6 +195,8 @@
     private companion object {
         /** An exchange that has not ended by then never does. */
         val END_TIMEOUT = 20.seconds
+        const val ID = "a"
+        const val STATUS_LINE = "HTTP/1.1 200 OK\r\n"
         const val UNFRAMED = "HTTP/1.1 200 OK\r\nX-A: b\r\n\r\n"
         const val CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
     }
--- a/gateway/src/test/kotlin/sycamore/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/sycamore/gateway/GatewayTest.kt
@@ -170,7 +170,7 @@
                 SampleDocuments.answerHeaders(request.headers) + SampleDocuments.notRunHeader +
                     SampleDocuments.leavingHeader
             emit(ResponseEvent.Head(503, headers))
-            emit(ResponseEvent.End(isFramed = true))
+            emit(ResponseEvent.End)
         }
 
     @Test
@@ -232,7 +232,7 @@
         flow {
             emit(ResponseEvent.Head(200, SampleDocuments.answerHeaders(request.headers)))
             emit(ResponseEvent.Bytes("done".encodeToByteArray()))
-            emit(ResponseEvent.End(isFramed = true))
+            emit(ResponseEvent.End)
         }
 
     private fun reply(
@@ -242,7 +242,7 @@
     ): Flow<ResponseEvent> =
         flow {
             emit(ResponseEvent.Head(status, SampleDocuments.answerHeaders(request.headers) + header))
-            emit(ResponseEvent.End(isFramed = true))
+            emit(ResponseEvent.End)
         }
 
     private fun lostAnswer(): Flow<ResponseEvent> =
--- a/gateway/src/test/kotlin/sycamore/gateway/PlainCallsTest.kt
+++ b/gateway/src/test/kotlin/sycamore/gateway/PlainCallsTest.kt
@@ -98,7 +98,7 @@
                 while (directory.available(ServiceName("plain")).none { it.id.value == "after" }) delay(5.milliseconds)
             }
             emit(ResponseEvent.Head(421, SampleDocuments.answerHeaders(request.headers)))
-            emit(ResponseEvent.End(isFramed = true))
+            emit(ResponseEvent.End)
         }
 
     private companion object {
--- a/gateway/src/test/kotlin/sycamore/gateway/TruncatedAnswerTest.kt
+++ b/gateway/src/test/kotlin/sycamore/gateway/TruncatedAnswerTest.kt
@@ -1,8 +1,6 @@
 package sycamore.gateway
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
-import kotlinx.collections.immutable.persistentListOf
-import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -14,15 +12,8 @@
 import sycamore.forwarding.UpstreamClient
 import sycamore.links.LinkException
 import sycamore.model.Address
-import sycamore.model.HostName
-import sycamore.model.Place
-import sycamore.model.PlaceName
-import sycamore.model.RegionName
-import sycamore.platform.HostSettings
-import sycamore.platform.PlatformBounds
 import sycamore.platform.SampleDocuments
 import sycamore.platform.StoreKeys
-import sycamore.platform.StoreSettings
 import sycamore.services.Revision
 import sycamore.standins.ConnectionEnd
 import sycamore.standins.KeyValueStore
@@ -35,7 +26,6 @@
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * Guards against a caller that gets a part of an upstream's answer as the complete one, which comes about when the
@@ -45,7 +35,7 @@
     private val store = KeyValueStore()
     private val scope = CoroutineScope(Dispatchers.Default + SupervisorJob())
     private val callers = Address("127.0.0.1", ServerSocket(0).use { it.localPort })
-    private val client = UpstreamClient()
+    private val client = UpstreamClient(SimpleMeterRegistry())
     private lateinit var server: CallerServer
     private lateinit var upstream: RawServer
 
@@ -142,7 +132,7 @@
         store.put(StoreKeys.UPSTREAMS + "u", entry, Revision.ABSENT)
         val gateway =
             Gateway(
-                settings,
+                GatewayFixture.settings,
                 store,
                 { to, _ -> throw LinkException("$to is down", sent = false) },
                 client::exchange,
@@ -192,24 +182,5 @@
 
         /** A response without a length is not framed by the close of its connection, even if that is going to close. */
         val connectionHeaders = listOf("", "Connection: close\r\n")
-
-        val settings =
-            HostSettings(
-                name = HostName("g1"),
-                place = Place(PlaceName("here"), RegionName("here")),
-                places = persistentMapOf(),
-                ip = "127.0.0.1",
-                firstPort = 1,
-                lastPort = 1,
-                callers = null,
-                readinessAddress = null,
-                upstream = null,
-                dataDirectory = null,
-                maxLostDisks = 1,
-                bounds = PlatformBounds(2.5.seconds, 8.seconds, 2.5.seconds, 1.seconds),
-                store = StoreSettings(Address("127.0.0.1", 1), 400.0, 2000.0, 1 shl 20),
-                memoryMib = 256,
-                contracts = persistentListOf(),
-            )
     }
 }
--- a/homes/src/main/kotlin/sycamore/homes/EngineCall.kt
+++ b/homes/src/main/kotlin/sycamore/homes/EngineCall.kt
@@ -42,7 +42,7 @@
                 when (event) {
                     is ResponseEvent.Head -> handleHead(event, replies)
                     is ResponseEvent.Bytes -> replies.emit(TurnBytes(event.bytes))
-                    is ResponseEvent.End -> end = TurnComplete()
+                    is ResponseEvent.End -> if (head != null) end = TurnComplete()
                 }
                 head?.isNotRun != true
             }
--- a/homes/src/main/kotlin/sycamore/homes/SealedLog.kt
+++ b/homes/src/main/kotlin/sycamore/homes/SealedLog.kt
@@ -38,7 +38,12 @@
      */
     fun recordsWith(retained: List<LogRecord>): List<LogRecord> {
         val committedNumber = ownSegments.maxOfOrNull { it.lastNumber } ?: 0
-        val uncommitted = retained.filter { it.number > committedNumber }.distinctBy { it.number }.sortedBy { it.number }
+        val uncommitted =
+            retained
+                .filter {
+                    it.number > committedNumber
+                }.distinctBy { it.number }
+                .sortedBy { it.number }
         return ownSegments.flatMap { it.records } + uncommitted
     }
 
--- a/homes/src/main/kotlin/sycamore/homes/TurnHome.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnHome.kt
@@ -145,7 +145,8 @@
         registrations.adopt(records)
         journal.appendAdopted(log.map { it.bytes })
         broken.forEach(journal::append)
-        val completeTurns = records.count { it is TurnFinished } + records.filterIsInstance<TurnsCounted>().sumOf { it.turns.size }
+        val condensedTurns = records.filterIsInstance<TurnsCounted>().sumOf { it.turns.size }
+        val completeTurns = records.count { it is TurnFinished } + condensedTurns
         logger.event(
             "programs-adopted",
             "home" to id,
--- a/homes/src/test/kotlin/sycamore/homes/HomeFixture.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeFixture.kt
@@ -248,7 +248,7 @@
                 delay(1.milliseconds)
             }
             if (lastChunk.isNotEmpty()) emit(ResponseEvent.Bytes(lastChunk))
-            emit(ResponseEvent.End(isFramed = true))
+            emit(ResponseEvent.End)
         }
 
     private fun settings(
--- a/soak/src/test/kotlin/sycamore/soak/ObservationsTest.kt
+++ b/soak/src/test/kotlin/sycamore/soak/ObservationsTest.kt
@@ -15,8 +15,7 @@
     private val observations = Observations(faults)
     private val gateway = Daemon("g", Role.GATEWAY, "127.0.0.1", Path.of("g.toml"), File("g.log"), "") { _, _ -> }
 
-    private fun attempt(kind: CallKind) =
-        Attempt("a1", kind, gateway, "/x", "prompt", now()).also(observations::begin)
+    private fun attempt(kind: CallKind) = Attempt("a1", kind, gateway, "/x", "prompt", now()).also(observations::begin)
 
     private fun now() = TimeSource.Monotonic.markNow()
 
