Abort an answer that goes on without a body, and run the tests of endless answers

What callers saw: nothing; a chunk size or chunk extension without end kept a connection and a processor busy until the deadline of the call.

Cause: the parser limits the size of a head, not what stands between chunks. Seven of the nine tests of EndlessResponseTest, two of these cases among them, returned a value, and JUnit passes over such methods. The compiled test classes of all modules were searched: no other test is of that kind.

Evidence: with a test that returns nothing, `an endless chunk length is aborted` and `an endless chunk extension is aborted` failed with "the response was not aborted". All nine pass now.

--- a/forwarding/src/main/kotlin/sycamore/forwarding/ClientConnection.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/ClientConnection.kt
@@ -5,6 +5,8 @@
 import org.eclipse.jetty.client.transport.internal.HttpReceiverOverHTTP
 import org.eclipse.jetty.http.HttpStatus
 import org.eclipse.jetty.io.EndPoint
+import java.io.IOException
+import java.nio.ByteBuffer
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.TimeSource
 
@@ -24,6 +26,10 @@
     private val openedAt = time.markNow()
     private val hasStrayBytes = AtomicBoolean()
 
+    /** The number of bytes received since the last ones of a body. Jetty reads a connection by one thread at a time. */
+    @Volatile
+    private var bytesWithoutContent = 0L
+
     /** The use of this connection until now. */
     val use: ConnectionUse get() = ConnectionUse(messagesOut, openedAt.elapsedNow())
 
@@ -31,9 +37,16 @@
 
     override fun addBytesIn(count: Long) {
         super.addBytesIn(count)
-        if (httpChannel.httpExchange != null) return
-        close()
-        reportStrayBytes()
+        val exchange = httpChannel.httpExchange
+        if (exchange == null) {
+            close()
+            reportStrayBytes()
+            return
+        }
+        bytesWithoutContent += count
+        if (bytesWithoutContent > MAX_BYTES_WITHOUT_CONTENT) {
+            close(IOException("$bytesWithoutContent bytes of a response without any of its body"))
+        }
     }
 
     override fun release() = if (hasStrayBytes.get()) close() else super.release()
@@ -49,7 +62,13 @@
     private inner class Receiver(
         channel: HttpChannelOverHTTP,
     ) : HttpReceiverOverHTTP(channel) {
+        override fun content(buffer: ByteBuffer): Boolean {
+            bytesWithoutContent = 0
+            return super.content(buffer)
+        }
+
         override fun messageComplete(): Boolean {
+            bytesWithoutContent = 0
             val isComplete = super.messageComplete()
             // Jetty discards these bytes and keeps the connection.
             if (isComplete && !isInterim && responseBuffer.hasRemaining()) reportStrayBytes()
@@ -58,4 +77,12 @@
 
         private val isInterim: Boolean get() = HttpStatus.isInterim(httpExchange.response.status)
     }
+
+    private companion object {
+        /**
+         * Limits a response that goes on without a body: an endless chunk size, for example. Above the limit of a head,
+         * and what is read at once after it.
+         */
+        const val MAX_BYTES_WITHOUT_CONTENT = 2L * UpstreamClient.MAX_HEAD_BYTES
+    }
 }
--- a/forwarding/src/test/kotlin/sycamore/forwarding/EndlessResponseTest.kt
+++ b/forwarding/src/test/kotlin/sycamore/forwarding/EndlessResponseTest.kt
@@ -92,9 +92,9 @@
     private fun assertAborted(
         begin: String,
         more: String,
-    ) = runBlocking {
+    ) {
         serve(begin, more)
-        assertFailsWith<UpstreamException> { send() }
+        assertFailsWith<UpstreamException> { runBlocking { send() } }
     }
 
     @Test
