Log why each attempt of a call failed, and keep these lines under load

Cause: `call-ended` told the number of sends and the last upstream only, so that nobody could tell why an earlier attempt was concluded as not run. In a second with more than 300 lines it was omitted like any other line, without a trace in the log.

Change: `call-ended` has `attempts`, with upstream, conclusion, status, whether the call was sent, and the connection of each attempt without a complete answer, for plain calls and turns. The details of a turn name the engine's status and its connection at the home and at the gateway; `turn-ended` names the refusal.

--- a/daemon/src/main/kotlin/sycamore/daemon/Metrics.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/Metrics.kt
@@ -32,9 +32,8 @@
 
     /** Registers the meters of the JVM and the counter of omitted log lines. */
     private fun bindProcess() {
-        FunctionCounter
-            .builder(OMITTED_LINES_METER, this) { RateLimitedAppender.omittedLines.toDouble() }
-            .register(prometheus)
+        bindOmittedLines("ordinary") { RateLimitedAppender.omittedLines }
+        bindOmittedLines("exceptional") { RateLimitedAppender.omittedExceptionalLines }
         JvmMemoryMetrics().bindTo(prometheus)
         JvmThreadMetrics().bindTo(prometheus)
         ProcessorMetrics().bindTo(prometheus)
@@ -42,6 +41,16 @@
         JvmGcMetrics().bindTo(prometheus)
     }
 
+    private fun bindOmittedLines(
+        kind: String,
+        count: () -> Long,
+    ) {
+        FunctionCounter
+            .builder(OMITTED_LINES_METER, this) { count().toDouble() }
+            .tag("kind", kind)
+            .register(prometheus)
+    }
+
     /** Registers a gauge of the time at which the certificate of [tls] expires, in seconds since 1970. */
     fun bindTls(tls: Tls) {
         prometheus.gauge(CERTIFICATE_EXPIRY_METER, tls) { it.expiry.epochSeconds.toDouble() }
--- a/forwarding/src/main/kotlin/sycamore/forwarding/AnswerRecord.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/AnswerRecord.kt
@@ -51,6 +51,7 @@
         "address" to request.address,
         "connection_requests" to use.requests,
         "connection_ms" to use.age.inWholeMilliseconds,
+        isExceptional = true,
     )
 
     /** Records that [request] failed before its response was complete. */
@@ -83,6 +84,7 @@
                 "address" to connection.remoteSocketAddress,
                 "connection_requests" to use.requests,
                 "connection_ms" to use.age.inWholeMilliseconds,
+                isExceptional = true,
             )
         }
     }
--- a/forwarding/src/main/kotlin/sycamore/forwarding/UpstreamClient.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/UpstreamClient.kt
@@ -77,10 +77,12 @@
  * Thrown when the upstream did not send a complete response.
  *
  * @property sent whether the upstream may have received the request.
+ * @property connection the use of the connection on which the request was sent; null if unknown, or if it was not sent.
  */
 class UpstreamException(
     message: String,
     val sent: Boolean,
+    val connection: ConnectionUse? = null,
 ) : IOException(message)
 
 /**
@@ -131,7 +133,7 @@
                 client
                     .newRequest("http://${request.address}${request.target}")
                     .method(request.method)
-                    .onRequestBegin { response.sent.set(true) }
+                    .onRequestBegin { response.recordBegin(it.connection as? ClientConnection) }
                     .headers { fields -> request.headers.forEach { (name, value) -> fields.add(name, value) } }
             if (request.body.isNotEmpty()) jetty.body(BytesRequestContent(null as String?, request.body))
             jetty.send(response)
@@ -184,7 +186,10 @@
         private val request: UpstreamRequest,
     ) : Response.Listener {
         val parts = Channel<Part>(Channel.UNLIMITED)
-        val sent = AtomicBoolean()
+        private val sent = AtomicBoolean()
+
+        @Volatile
+        private var connection: ClientConnection? = null
 
         /** Whether the complete response was received. */
         @Volatile
@@ -196,6 +201,12 @@
         var isShort = false
             private set
 
+        /** Records that the request is about to be written on [connection]. */
+        fun recordBegin(connection: ClientConnection?) {
+            this.connection = connection
+            sent.set(true)
+        }
+
         override fun onHeaders(response: Response) {
             if (HttpStatus.isInformational(response.status)) {
                 response.abort(IOException("the upstream sent an interim response (${response.status})"))
@@ -207,7 +218,7 @@
             record.recordHead(request, head, use)
             if (head.id != request.id) {
                 // The upstream may repeat an earlier response, so the responses that follow are out of step too.
-                response.abort(UpstreamException(misattribution(head, use), sent = true))
+                response.abort(UpstreamException(misattribution(head, use), sent = true, use))
                 return
             }
             isShort = response.headers.getLongField("Content-Length") in 0..SHORT_BODY_BYTES
@@ -233,7 +244,10 @@
             } else {
                 val failure = result.failure
                 record.recordFailure(sent.get())
-                parts.close(failure as? UpstreamException ?: UpstreamException(reason(failure), sent.get()))
+                val exception =
+                    failure as? UpstreamException
+                        ?: UpstreamException(reason(failure), sent.get(), connection?.use)
+                parts.close(exception)
             }
         }
     }
--- a/gateway/src/main/kotlin/sycamore/gateway/AcceptedCall.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/AcceptedCall.kt
@@ -1,5 +1,7 @@
 package sycamore.gateway
 
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
 import sycamore.forwarding.ConnectionUse
 import sycamore.model.HomeId
 import sycamore.model.ServiceName
@@ -54,7 +56,25 @@
     @Volatile
     var connection: ConnectionUse? = null
 
+    /** The attempts without a complete response, in their order. */
+    @Volatile
+    var failedAttempts: PersistentList<AttemptTrace> = persistentListOf()
+        private set
+
+    /** Whether the call was sent more than once, or an attempt did not lead to a complete response. */
+    val isUnusual: Boolean get() = sends > 1 || failedAttempts.isNotEmpty()
+
+    /** Adds [attempt], unless [MAX_ATTEMPTS] are known. */
+    fun add(attempt: AttemptTrace) {
+        if (failedAttempts.size < MAX_ATTEMPTS) failedAttempts = failedAttempts.add(attempt)
+    }
+
     /** Why no upstream answered the call; null if one did. */
     @Volatile
     var detail: String? = null
+
+    private companion object {
+        /** Above the number of upstreams that a plain call is sent to. Bounds the line of a turn that is sent to many. */
+        const val MAX_ATTEMPTS = 8
+    }
 }
--- a/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
@@ -145,6 +145,7 @@
             "status" to error.status,
             "detail" to detail,
             "version" to generation,
+            isExceptional = error == GatewayError.NOT_RUN,
         )
     }
 
@@ -164,6 +165,10 @@
         "home" to call.trace.home,
         "upstream" to call.trace.upstream,
         "sends" to call.trace.sends,
+        "attempts" to
+            call.trace.failedAttempts
+                .takeIf { it.isNotEmpty() }
+                ?.joinToString("; "),
         "connection_requests" to call.trace.connection?.requests,
         "connection_ms" to
             call.trace.connection
@@ -174,6 +179,7 @@
         "detail" to call.trace.detail,
         "ms" to arrivedAt.elapsedNow().inWholeMilliseconds,
         "time_left_ms" to call.timeLeft.inWholeMilliseconds,
+        isExceptional = call.trace.isUnusual || caller.status !in SUCCESS_STATUSES || caller.abortReason != null,
     )
 
     private fun accept(
@@ -239,6 +245,7 @@
     ) = table?.services?.get(service)?.engine
 
     private companion object {
+        val SUCCESS_STATUSES = 200..299
         val EVICTION_INTERVAL = 10.seconds
 
         /** The limits until a configuration is known. */
--- a/gateway/src/main/kotlin/sycamore/gateway/PlainCalls.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/PlainCalls.kt
@@ -76,7 +76,9 @@
         loads.recordStart(upstream)
         var isSuccessful = false
         try {
-            val end = UpstreamAttempt(exchange, call, upstream, callUpstream, upstreams::markLeaving).run(timeout)
+            val attempt = UpstreamAttempt(exchange, call, upstream, callUpstream, upstreams::markLeaving)
+            val end = attempt.run(timeout)
+            attempt.trace(end)?.let(call.trace::add)
             isSuccessful = end is AttemptResult.Completed
             if (end is AttemptResult.NotRun) loads.recordFull(upstream)
             return end
--- a/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
@@ -135,14 +135,14 @@
                 is SendResult.Retry -> {
                     refusalReason = result.reason
                     meters.recordResend("refused")
-                    log.event("turn-sent-elsewhere", "request" to turn, "home" to home.home, "detail" to result.reason)
+                    logResend("turn-sent-elsewhere", home, result.reason)
                     delay(RETRY_DELAY)
                     false
                 }
                 is SendResult.Unreachable -> {
                     refusalReason = result.reason
                     meters.recordResend("unreachable")
-                    log.event("home-unreachable", "request" to turn, "home" to home.home, "detail" to result.reason)
+                    logResend("home-unreachable", home, result.reason)
                     engineHosts.recordUnresponsive(home.address)
                     if (homes.knownHome(program) == home) {
                         withTimeoutOrNull(MAX_HOLD_TIME - held) { homes.takeOver(home) } ?: delay(RETRY_DELAY)
@@ -154,6 +154,21 @@
             }
         }
 
+        private fun logResend(
+            event: String,
+            home: HomeEndpoint,
+            reason: String,
+        ) = log.event(event, "request" to turn, "home" to home.home, "detail" to reason, isExceptional = true)
+
+        /** Notes that [home] did not answer the turn, or the engine [target] did not answer it completely. */
+        private fun trace(
+            home: HomeEndpoint,
+            target: EngineHost,
+            outcome: AttemptTrace.Outcome,
+            detail: String,
+            sent: Boolean = true,
+        ) = call.trace.add(AttemptTrace(target.upstream.id, outcome, detail, via = home.home.toString(), sent = sent))
+
         private suspend fun sendTo(
             home: HomeEndpoint,
             target: EngineHost,
@@ -171,6 +186,8 @@
                         exchange(home.address, message).collect { reply ->
                             when (reply) {
                                 is TurnRefused -> {
+                                    val detail = "${reply.reason}, ${reply.detail}"
+                                    trace(home, target, AttemptTrace.Outcome.NOT_RUN, detail)
                                     result = handleRefusal(reply, home, target)
                                     isAnswered = true
                                 }
@@ -180,12 +197,16 @@
                         true
                     }
                 if (isInTime == null) {
+                    trace(home, target, brokenOutcome, "not answered in time")
                     failAsTooLate()
                 } else if (!isAnswered) {
+                    trace(home, target, brokenOutcome, "the home ended without an answer")
                     failAsBroken("the home ended without an answer")
                 }
                 return result
             } catch (e: LinkException) {
+                val outcome = if (e.sent) brokenOutcome else AttemptTrace.Outcome.NOT_RUN
+                trace(home, target, outcome, e.message!!, e.sent)
                 if (!e.sent) return SendResult.Unreachable(e.message!!)
                 engineHosts.recordUnresponsive(home.address)
                 failAsBroken("the home was lost: ${e.message}")
@@ -241,6 +262,7 @@
                     return true
                 }
                 is TurnInterrupted -> {
+                    trace(home, target, brokenOutcome, reply.reason)
                     homes.recordHome(program, home)
                     failAsBroken(reply.reason)
                     return true
@@ -304,6 +326,9 @@
             respond(GatewayError.NOT_RUN, reason, RETRY_AFTER)
         }
 
+        private val brokenOutcome: AttemptTrace.Outcome
+            get() = if (caller.isStarted) AttemptTrace.Outcome.CUT else AttemptTrace.Outcome.FAILED
+
         private suspend fun failAsTooLate() {
             if (caller.isStarted) {
                 caller.abort("the turn was not answered in time")
--- a/gateway/src/main/kotlin/sycamore/gateway/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/UpstreamAttempt.kt
@@ -56,6 +56,26 @@
     private val events = EventBoundary()
     private var head: ResponseEvent.Head? = null
     private var rejection: AttemptResult? = null
+    private var failure: UpstreamException? = null
+
+    /** Describes this attempt, which ended with [result]; null if the caller received the complete response. */
+    fun trace(result: AttemptResult): AttemptTrace? {
+        val (outcome, detail) =
+            when (result) {
+                AttemptResult.Completed -> return null
+                is AttemptResult.NotRun -> AttemptTrace.Outcome.NOT_RUN to result.reason
+                is AttemptResult.Failed -> AttemptTrace.Outcome.FAILED to result.reason
+                is AttemptResult.Truncated -> AttemptTrace.Outcome.CUT to result.reason
+            }
+        return AttemptTrace(
+            upstream.id,
+            outcome,
+            detail,
+            status = head?.status,
+            sent = failure?.sent ?: true,
+            connection = failure?.connection ?: head?.connection,
+        )
+    }
 
     /**
      * Sends the call. Cancels it if no part of the response could be forwarded within [timeout]. Once the response has
@@ -83,6 +103,7 @@
         try {
             callUpstream(request).collectWhile(::handle)
         } catch (e: UpstreamException) {
+            failure = e
             return failureResult(e)
         }
         rejection?.let { return it }
--- /dev/null
+++ b/gateway/src/test/kotlin/sycamore/gateway/CallLogTest.kt
@@ -0,0 +1,80 @@
+package sycamore.gateway
+
+import kotlinx.coroutines.runBlocking
+import sycamore.gateway.LogLines.Companion.field
+import sycamore.gateway.LogLines.Companion.isExceptional
+import sycamore.model.Address
+import sycamore.standins.SocketRequest
+import java.io.OutputStream
+import java.net.ServerSocket
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** Guards against calls whose line does not tell why an attempt was concluded as not run, or as failed. */
+class CallLogTest {
+    private val lines = LogLines()
+    private lateinit var gateway: SocketGateway
+
+    @AfterTest
+    fun stop() {
+        gateway.close()
+        lines.close()
+    }
+
+    @Test
+    fun `the line of a call that was sent twice tells where and why it was not run`() {
+        gateway = SocketGateway(::refuse, ::refuse)
+        gateway.call("first")
+        gateway.call("second")
+        val line = lines.await("call-ended", "second")
+        val attempts = line.field("attempts")!!.split("; ")
+        assertEquals(listOf("u0", "u1"), attempts.map { it.take(2) }.sorted())
+        attempts.forEach {
+            val expected =
+                Regex("u. not run \\(status 503, request 2 of a connection of \\d+ ms\\): u. answered 503 .*")
+            assertTrue(expected.matches(it), it)
+        }
+        assertTrue(line.isExceptional)
+    }
+
+    @Test
+    fun `the line of a failed call tells on which connection it was sent`() {
+        gateway = SocketGateway({ request, out -> if (request.index == 0) refuse(request, out) else out.close() })
+        gateway.call("first")
+        gateway.call("second")
+        val line = lines.await("call-ended", "second")
+        val expected = Regex("u0 failed \\(request 2 of a connection of \\d+ ms\\): u0 at .* broke off: .*")
+        assertTrue(expected.matches(line.field("attempts")!!), line.field("attempts"))
+        assertTrue(line.isExceptional)
+    }
+
+    @Test
+    fun `the line of a call whose upstream cannot be reached tells that it was not sent`() {
+        gateway = SocketGateway()
+        val free = Address("127.0.0.1", ServerSocket(0).use { it.localPort })
+        runBlocking { gateway.register("u0", free) }
+        // The first calls may precede the registration.
+        val attempts =
+            generateSequence(0) { it + 1 }.firstNotNullOf {
+                gateway.call("c$it")
+                lines.await("call-ended", "c$it").field("attempts")
+            }
+        assertTrue(attempts.startsWith("u0 not run (not sent): u0 at $free broke off:"), attempts)
+    }
+
+    @Test
+    fun `the line of a call that the first upstream answered has no attempts and may be omitted first`() {
+        gateway = SocketGateway({ request, out -> out.write(SocketGateway.success(request)) })
+        gateway.call("first")
+        val line = lines.await("call-ended", "first")
+        assertEquals(null, line.field("attempts"))
+        assertTrue(!line.isExceptional)
+    }
+
+    private fun refuse(
+        request: SocketRequest,
+        out: OutputStream,
+    ) = out.write(SocketGateway.refusal(request))
+}
--- a/homes/src/main/kotlin/sycamore/homes/EngineCall.kt
+++ b/homes/src/main/kotlin/sycamore/homes/EngineCall.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.flow.FlowCollector
 import sycamore.forwarding.CallUpstream
+import sycamore.forwarding.ConnectionUse
 import sycamore.forwarding.ResponseEvent
 import sycamore.forwarding.UpstreamException
 import sycamore.forwarding.UpstreamRequest
@@ -27,6 +28,7 @@
     private val onLeaving: () -> Unit,
 ) {
     private var head: ResponseHead? = null
+    private var connection: ConnectionUse? = null
 
     /** Sends [prompt] and emits all messages of the answer to [replies], including the one that ends it. */
     suspend fun run(
@@ -48,7 +50,9 @@
             }
             head?.takeIf { it.isNotRun }?.let { end = refusalOf(it) }
         } catch (e: UpstreamException) {
-            end = if (e.sent) TurnInterrupted("the engine broke off: ${e.message}") else refusalOfUnreachable(e)
+            val use = e.connection ?: connection
+            end =
+                if (e.sent) TurnInterrupted("the engine broke off: ${e.message}${on(use)}") else refusalOfUnreachable(e)
         } catch (e: UnusableAnswerException) {
             end = TurnInterrupted(e.message!!)
         }
@@ -61,11 +65,14 @@
     ) {
         val answer = CallHeaders.decodeResponse(event.status, event.headers)
         head = answer
+        connection = event.connection
         if (answer.isLeaving) onLeaving()
         if (answer.isNotRun) return
         if (answer.isUnconfirmedRefusal) {
             // The caller would conclude that its turn has not run.
-            throw UnusableAnswerException("the engine answered ${answer.status}, not that it did not run the turn")
+            throw UnusableAnswerException(
+                "the engine answered ${answer.status}, not that it did not run the turn${on(connection)}",
+            )
         }
         if (answer.isEncoded) throw UnusableAnswerException("the engine's answer is encoded")
         if (answer.isSuccess && !answer.isStamped) throw UnusableAnswerException("the engine's answer is not signed")
@@ -76,12 +83,19 @@
     private fun refusalOf(answer: ResponseHead): TurnRefused =
         when {
             answer.status == MISDIRECTED_REQUEST_STATUS ->
-                TurnRefused(TurnRefusal.TARGET_GONE, "another upstream answers at ${call.target.address}")
-            answer.isLeaving -> TurnRefused(TurnRefusal.TARGET_LEAVES, "${call.target.id} leaves")
+                TurnRefused(
+                    TurnRefusal.TARGET_GONE,
+                    "another upstream answers at ${call.target.address}${on(connection)}",
+                )
+            answer.isLeaving ->
+                TurnRefused(
+                    TurnRefusal.TARGET_LEAVES,
+                    "${call.target.id} leaves, and answered ${answer.status}${on(connection)}",
+                )
             else ->
                 TurnRefused(
                     TurnRefusal.NOT_NOW,
-                    "the engine answered ${answer.status} and did not run the turn",
+                    "the engine answered ${answer.status} and did not run the turn${on(connection)}",
                     RETRY_AFTER,
                 )
         }
@@ -89,6 +103,10 @@
     private fun refusalOfUnreachable(e: UpstreamException) =
         TurnRefused(TurnRefusal.TARGET_GONE, "the engine cannot be reached: ${e.message}", RETRY_AFTER)
 
+    /** Names the connection in the log line of a turn, which may be written on another host. */
+    private fun on(use: ConnectionUse?): String =
+        use?.let { ", as request ${it.requests} of a connection of ${it.age.inWholeMilliseconds} ms" }.orEmpty()
+
     private class UnusableAnswerException(
         message: String,
     ) : Exception(message)
--- a/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
@@ -117,6 +117,7 @@
             "detail" to detail,
             "budget" to call.tokenBudget,
             "most" to call.mostTokens,
+            isExceptional = true,
         )
         if (reason == TurnRefusal.BUDGET_SPENT) {
             withTimeoutOrNull(SPENT_MARK_TIMEOUT) { spent.mark(call.program) }
@@ -198,12 +199,14 @@
                 "previous" to call.previous,
                 "engine" to call.target.id,
                 "outcome" to outcome(last),
+                "refusal" to (last as? TurnRefused)?.reason,
                 "detail" to ((last as? TurnInterrupted)?.reason ?: (last as? TurnRefused)?.detail),
                 "sent_ms" to timeToSend?.inWholeMilliseconds,
                 "begun_ms" to timeToBegin?.inWholeMilliseconds,
                 "ms" to arrivedAt.elapsedNow().inWholeMilliseconds,
                 "events" to events.events,
                 "time_left_ms" to call.timeLeft.inWholeMilliseconds,
+                isExceptional = last !is TurnComplete || !isSuccess,
             )
 
         private fun outcome(last: Message): String =
--- a/homes/src/test/kotlin/sycamore/homes/MisattributedEngineAnswersTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/MisattributedEngineAnswersTest.kt
@@ -9,6 +9,8 @@
 import sycamore.links.HeaderField
 import sycamore.links.LinkException
 import sycamore.links.Message
+import sycamore.links.TurnInterrupted
+import sycamore.links.TurnRefused
 import sycamore.platform.SampleDocuments
 import sycamore.standins.SocketRequest
 import sycamore.standins.SocketUpstream
@@ -16,6 +18,7 @@
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 import kotlin.time.TimeSource
 
 /**
@@ -75,6 +78,27 @@
             assertEquals(listOf("TurnSent", "TurnInterrupted"), send("t-unstated").map { it::class.simpleName })
         }
 
+    /** Guards against a turn whose line does not tell why it was concluded as not run. */
+    @Test
+    fun `the refusal of a turn tells the engine's status and the connection`() =
+        runBlocking {
+            val detail = (send("t0").last() as TurnRefused).detail
+            val expected =
+                "the engine answered 503 and did not run the turn, as request 1 of a connection of \\d+ ms"
+            assertTrue(Regex(expected).matches(detail), detail)
+        }
+
+    /** Guards against a broken turn whose line does not tell on which connection it was sent. */
+    @Test
+    fun `the end of a turn that got no answer tells the connection`() =
+        runBlocking {
+            val reason = (send("t-closed").last() as TurnInterrupted).reason
+            assertTrue(
+                Regex("the engine broke off: .*, as request 1 of a connection of \\d+ ms").matches(reason),
+                reason,
+            )
+        }
+
     private fun respond(
         request: SocketRequest,
         out: OutputStream,
@@ -86,6 +110,7 @@
             refusal = SocketUpstream.response(refusalStatus, headers + notRun, "full")
             return out.write(refusal)
         }
+        if (id == "t-closed") return out.close()
         if (id == "t-unstated") return out.write(SocketUpstream.response(429, headers, "failed"))
         if (id == "t1") {
             out.write(refusal)
