A gateway that stops as planned answers all that it takes

What callers saw: requests that came late in the grace period of a planned stop were passed on, and their connections were cut at its end without an answer (LOST), also those of calls that must run once.

Cause: `Connection: close` was set when a request began while draining. A request that began before SIGTERM was answered without it, and its caller sent the next one on that connection within the 20 ms between two checks for idle connections. Nothing compared that request's need with what was left of the grace period, and nothing answered what was still open when the process ended.

Fix: PlannedStop has the phases of a stop, from the grace period of the settings. Until callers have left, all requests are served. After that, a call is sent to an upstream, the first or a next one, only if its time limit ends before the final answers, and is refused as not run otherwise, which is true since it was not sent. The time left of every call ends with the final answers, so upstreams get no longer deadline. When final answers are due, the calls that are still open are cancelled and answered: 503 if no upstream may have run them, 504 otherwise, and streams are broken off within their chunks. Whether the connection closes is decided when a response head is written.

--- a/forwarding/src/main/kotlin/sycamore/forwarding/CallerExchange.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/CallerExchange.kt
@@ -25,11 +25,14 @@
 /**
  * One request of a caller and its response. The response has to be completed or aborted; of several attempts, only the
  * first has an effect.
+ *
+ * @param isLast returns whether the connection closes after this response, which the response head then announces.
  */
 class CallerExchange internal constructor(
     private val request: Request,
     private val response: Response,
     private val callback: Callback,
+    private val isLast: () -> Boolean,
 ) {
     private val isFinished = AtomicBoolean()
     private val watch = CallerWatch(request.connectionMetaData.connection)
@@ -153,11 +156,6 @@
         }
     }
 
-    /** Announces in the response head that the connection closes after this response. */
-    fun closeAfterResponse() {
-        response.headers.put("Connection", "close")
-    }
-
     private fun setHead(
         status: Int,
         headers: List<Header>,
@@ -165,6 +163,7 @@
         this.status = status
         response.status = status
         headers.forEach { (name, value) -> response.headers.add(name, value) }
+        if (isLast()) response.headers.put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE)
     }
 
     private suspend fun write(
--- a/forwarding/src/main/kotlin/sycamore/forwarding/CallerServer.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/CallerServer.kt
@@ -55,9 +55,9 @@
         }
     private val connector = ServerConnector(server, 1, 1, HttpConnectionFactory(http))
 
-    /** Whether connections are closed after their next response. */
+    /** Whether connections are closed after the next response that starts on them. */
     @Volatile
-    var isDraining = false
+    private var isDraining = false
 
     /** Starts to accept connections. */
     fun start(): CallerServer =
@@ -71,10 +71,12 @@
         }
 
     /**
-     * Stops accepting connections, closes those without an open request, and returns when all connections are closed.
+     * Announces in all responses that their connections close after them. Once [stop] is in its second phase, stops accepting
+     * connections and closes those without an open request. Returns when all connections are closed.
      */
-    suspend fun drain() {
+    suspend fun drain(stop: PlannedStop) {
         isDraining = true
+        stop.awaitCallersLeave()
         connector.close()
         while (connector.connectedEndPoints.isNotEmpty()) {
             openRequests.closeIdle(connector.connectedEndPoints).forEach { it.close() }
@@ -95,8 +97,7 @@
         ): Boolean {
             val endPoint = request.connectionMetaData.connection.endPoint
             endPoint.idleTimeout = limits().idleTimeout.inWholeMilliseconds
-            val exchange = CallerExchange(request, response, callback)
-            if (isDraining) exchange.closeAfterResponse()
+            val exchange = CallerExchange(request, response, callback) { isDraining }
             if (!openRequests.begin(endPoint)) {
                 exchange.abort("the connection is being closed")
                 return true
--- a/forwarding/src/main/kotlin/sycamore/forwarding/PlatformDaemon.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/PlatformDaemon.kt
@@ -132,8 +132,13 @@
             LinkServer.listen(settings.name, settings.links, bounds = LINK_BOUNDS, serve = serve)
         }
 
-    /** Runs [steps] when the platform requests the process to stop, within the grace period less [STOP_RESERVE]. */
-    fun onStop(steps: suspend () -> Unit) = Stop.onTerminationSignal({ bounds.gracePeriod - STOP_RESERVE }, steps)
+    /** The planned stop of this process, which takes the grace period less [STOP_RESERVE] at most. */
+    val plannedStop = PlannedStop(::stopTimeout)
+
+    /** Runs [steps] when the platform requests the process to stop. */
+    fun onStop(steps: suspend () -> Unit) = Stop.onTerminationSignal(::stopTimeout) { plannedStop.run(steps) }
+
+    private fun stopTimeout(): Duration = bounds.gracePeriod - STOP_RESERVE
 
     companion object {
         private const val METRICS_PATH = "/metrics"
--- a/gateway/src/main/kotlin/sycamore/gateway/AcceptedCall.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/AcceptedCall.kt
@@ -1,6 +1,7 @@
 package sycamore.gateway
 
 import sycamore.forwarding.ConnectionUse
+import sycamore.forwarding.PlannedStop
 import sycamore.model.HomeId
 import sycamore.model.ServiceName
 import sycamore.platform.Header
@@ -18,6 +19,7 @@
  * @property forwarded the headers that are forwarded to the upstream.
  * @property deadline the time by which the call has to be answered: the caller's deadline, or the end of the route's
  *   timeout if that is earlier.
+ * @property stop the planned stop of this gateway.
  */
 internal class AcceptedCall(
     val route: Route,
@@ -28,12 +30,20 @@
     val forwarded: List<Header>,
     val body: ByteArray,
     val deadline: ComparableTimeMark,
+    private val stop: PlannedStop,
 ) {
     /** How the call was handled, for the log. */
     val trace = CallTrace()
 
-    /** The time left until the call has to be answered. */
-    val timeLeft: Duration get() = -deadline.elapsedNow()
+    /** Whether an upstream may have run the call, or may be running it. */
+    @Volatile
+    var mayHaveRun = false
+
+    /** The time left until the call has to be answered, which is limited by the stop of this gateway. */
+    val timeLeft: Duration get() = minOf(-deadline.elapsedNow(), stop.timeLeft)
+
+    /** Whether the stop of this gateway leaves the call its time, so that it may be sent to an upstream. */
+    val isSendable: Boolean get() = stop.admits(-deadline.elapsedNow())
 }
 
 /** Collects for the log how a call was handled. */
--- a/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
@@ -16,6 +16,7 @@
 import sycamore.forwarding.BodyTooLargeException
 import sycamore.forwarding.CallUpstream
 import sycamore.forwarding.CallerExchange
+import sycamore.forwarding.PlannedStop
 import sycamore.links.Exchange
 import sycamore.model.Generation
 import sycamore.model.ServiceName
@@ -44,6 +45,7 @@
     exchange: Exchange,
     callUpstream: CallUpstream,
     registry: MeterRegistry,
+    private val stop: PlannedStop = PlannedStop({ settings.bounds.gracePeriod }),
     private val time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
 ) {
     private val startedAt = time.markNow()
@@ -99,17 +101,21 @@
         }
         val body =
             try {
-                caller.readBody(table.limits.bodyBytes)
+                stop.untilFinalAnswers { caller.readBody(table.limits.bodyBytes) }
             } catch (e: BodyTooLargeException) {
                 logRefusal(head, GatewayError.TOO_LARGE, e.message!!, table.generation)
                 return caller.respond(GatewayError.TOO_LARGE, e.message!!, head.id)
             }
+        if (body == null) {
+            logRefusal(head, GatewayError.NOT_RUN, STOPPING, table.generation)
+            return caller.respond(GatewayError.NOT_RUN, STOPPING, head.id, STOP_RETRY_AFTER)
+        }
         val job = currentCoroutineContext().job
         caller.watchCaller { job.cancel() }
         val call = accept(caller, route, head, body, arrivedAt)
         meters.recordStart()
         try {
-            serve(caller, call)
+            stop.untilFinalAnswers { serve(caller, call) } ?: answerFinally(caller, call)
         } finally {
             meters.recordEnd(route, caller.status, caller.abortReason != null, arrivedAt.elapsedNow())
             logEnd(caller, call, table.generation, arrivedAt)
@@ -193,6 +199,7 @@
             forwarded = CallHeaders.filterForUpstream(caller.headers),
             body = body,
             deadline = arrivedAt + limit,
+            stop = stop,
         )
     }
 
@@ -200,6 +207,7 @@
         caller: CallerExchange,
         call: AcceptedCall,
     ) {
+        if (!call.isSendable) return refuseAsStopping(caller, call)
         val turn = call.head.id!!
         if (call.route.repeat == RepeatPolicy.ONCE_STREAMED && engine(call) != null) {
             // A call without a program is handled as the only turn of a program of its own.
@@ -209,6 +217,27 @@
         }
     }
 
+    /** Ends [call], which is still open when this gateway stops. */
+    private suspend fun answerFinally(
+        caller: CallerExchange,
+        call: AcceptedCall,
+    ) {
+        call.trace.detail = STOPPING
+        when {
+            caller.isStarted -> caller.abort(STOPPING)
+            call.mayHaveRun -> caller.respond(GatewayError.TOO_LATE, STOPPING, call.head.id)
+            else -> refuseAsStopping(caller, call)
+        }
+    }
+
+    private suspend fun refuseAsStopping(
+        caller: CallerExchange,
+        call: AcceptedCall,
+    ) {
+        call.trace.detail = STOPPING
+        caller.respond(GatewayError.NOT_RUN, STOPPING, call.head.id, STOP_RETRY_AFTER)
+    }
+
     /**
      * Chooses one of the services of [route] by weight. All turns of a program go to the same service, since the
      * engines of the others do not hold its cache.
@@ -256,6 +285,11 @@
          */
         val MAX_STARTUP_TIME = 1500.milliseconds
 
+        const val STOPPING = "this gateway stops"
+
+        /** Callers retry on new connections, which the platform forwards to other gateways. */
+        val STOP_RETRY_AFTER = 20.milliseconds
+
         /** The time in which a starting daemon reads the configuration. */
         val STARTUP_RETRY_AFTER = 300.milliseconds
     }
--- a/gateway/src/main/kotlin/sycamore/gateway/Main.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/Main.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.awaitCancellation
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.http4k.core.Request
 import org.http4k.core.Response
@@ -12,7 +11,6 @@
 import sycamore.forwarding.CallerServer
 import sycamore.forwarding.PlatformDaemon
 import sycamore.forwarding.UpstreamClient
-import kotlin.time.Duration.Companion.seconds
 
 /** Runs the gateway daemon, which accepts the requests of callers. */
 fun main(args: Array<String>) {
@@ -26,29 +24,18 @@
         val runtime = PlatformDaemon(settings)
         val registry = runtime.metrics.registry
         val client = UpstreamClient(registry)
-        val gateway = Gateway(settings, runtime.keyValue, runtime.links::exchange, client::exchange, registry)
+        val stop = runtime.plannedStop
+        val gateway = Gateway(settings, runtime.keyValue, runtime.links::exchange, client::exchange, registry, stop)
         launch { gateway.run() }
         launch { runtime.serveMetrics(metricsPort) }
         val server = CallerServer(listener, gateway::limits, Dispatchers.Default, gateway::serve).start()
-        var isLeaving = false
         Http.serve(
             readinessAddress,
             { _: Request ->
-                Response(if (gateway.isReady && !isLeaving) Status.OK else Status.SERVICE_UNAVAILABLE)
+                Response(if (gateway.isReady && !stop.isBegun) Status.OK else Status.SERVICE_UNAVAILABLE)
             },
         )
-        runtime.onStop {
-            isLeaving = true
-            server.isDraining = true
-            delay(ROTATION_EXIT_DELAY)
-            server.drain()
-        }
+        runtime.onStop { server.drain(stop) }
         awaitCancellation()
     }
 }
-
-/**
- * The time until the platform sends no new callers to this gateway. It checks the readiness once a second, and takes a
- * gateway out of rotation after two checks in a row that did not succeed.
- */
-private val ROTATION_EXIT_DELAY = 2.5.seconds
--- a/gateway/src/main/kotlin/sycamore/gateway/PlainCalls.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/PlainCalls.kt
@@ -24,12 +24,11 @@
         val tried = HashSet<Address>()
         var sends = 0
         var last: AttemptResult = AttemptResult.NotRun("no upstream of ${call.service} takes calls")
-        var mayHaveRun = false
         while (sends < call.route.attempts && tried.size < MAX_UPSTREAMS_TRIED) {
             val candidates = upstreams.available(call.service).filter { it.address !in tried }
             val upstream = loads.choose(candidates, call.head.affinityKey.takeIf { call.route.hasAffinity }) ?: break
             val left = call.timeLeft
-            if (left < MIN_TIME_LEFT) break
+            if (left < MIN_TIME_LEFT || !call.isSendable) break
             tried += upstream.address
             call.trace.upstream = upstream.id
             call.trace.sends++
@@ -38,17 +37,15 @@
             if (last is AttemptResult.NotRun) continue
             sends++
             if (last is AttemptResult.Completed || last is AttemptResult.Truncated) break
-            mayHaveRun = true
             if (!mayRepeat) break
         }
-        respond(exchange, call, last, mayHaveRun)
+        respond(exchange, call, last)
     }
 
     private suspend fun respond(
         exchange: CallerExchange,
         call: AcceptedCall,
         last: AttemptResult,
-        mayHaveRun: Boolean,
     ) {
         val reason =
             when (last) {
@@ -60,7 +57,7 @@
         call.trace.detail = reason
         when {
             last is AttemptResult.Truncated -> exchange.abort(reason)
-            !mayHaveRun -> exchange.respond(GatewayError.NOT_RUN, reason, call.head.id, RETRY_AFTER)
+            !call.mayHaveRun -> exchange.respond(GatewayError.NOT_RUN, reason, call.head.id, RETRY_AFTER)
             call.timeLeft <= Duration.ZERO ->
                 exchange.respond(GatewayError.TOO_LATE, "no answer came in time", call.head.id)
             else -> exchange.respond(GatewayError.BROKEN, reason, call.head.id)
@@ -74,11 +71,16 @@
         timeout: Duration,
     ): AttemptResult {
         loads.recordStart(upstream)
+        val mayHaveRunBefore = call.mayHaveRun
+        call.mayHaveRun = true
         var isSuccessful = false
         try {
             val end = UpstreamAttempt(exchange, call, upstream, callUpstream, upstreams::markLeaving).run(timeout)
             isSuccessful = end is AttemptResult.Completed
-            if (end is AttemptResult.NotRun) loads.recordFull(upstream)
+            if (end is AttemptResult.NotRun) {
+                call.mayHaveRun = mayHaveRunBefore
+                loads.recordFull(upstream)
+            }
             return end
         } finally {
             loads.recordEnd(upstream, isSuccessful)
--- a/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
@@ -80,7 +80,7 @@
         private val arrivedAt = time.markNow()
 
         suspend fun run() {
-            while (held < MAX_HOLD_TIME && call.timeLeft > MIN_TIME_LEFT) {
+            while (held < MAX_HOLD_TIME && call.timeLeft > MIN_TIME_LEFT && call.isSendable) {
                 when (val located = withTimeoutOrNull(MAX_HOLD_TIME - held) { locate() }) {
                     null -> refusalReason = "the program's home was not found in time"
                     HomeLookup.NoSuchTurn -> return refuseUnknownTurn()
@@ -163,6 +163,7 @@
             call.trace.home = home.home
             call.trace.upstream = target.upstream.id
             call.trace.sends++
+            call.mayHaveRun = true
             var result: SendResult = SendResult.Completed
             var isAnswered = false
             try {
@@ -171,6 +172,7 @@
                         exchange(home.address, message).collect { reply ->
                             when (reply) {
                                 is TurnRefused -> {
+                                    call.mayHaveRun = false
                                     result = handleRefusal(reply, home, target)
                                     isAnswered = true
                                 }
@@ -186,7 +188,10 @@
                 }
                 return result
             } catch (e: LinkException) {
-                if (!e.sent) return SendResult.Unreachable(e.message!!)
+                if (!e.sent) {
+                    call.mayHaveRun = false
+                    return SendResult.Unreachable(e.message!!)
+                }
                 engineHosts.recordUnresponsive(home.address)
                 failAsBroken("the home was lost: ${e.message}")
                 return SendResult.Completed
--- a/gateway/src/test/kotlin/sycamore/gateway/PlainCallsTest.kt
+++ b/gateway/src/test/kotlin/sycamore/gateway/PlainCallsTest.kt
@@ -14,6 +14,7 @@
 import sycamore.daemon.InvalidEntries
 import sycamore.forwarding.CallerExchange
 import sycamore.forwarding.CallerServer
+import sycamore.forwarding.PlannedStop
 import sycamore.forwarding.ResponseEvent
 import sycamore.forwarding.UpstreamRequest
 import sycamore.model.Address
@@ -35,6 +36,7 @@
 /** Tests how a plain call is sent to one upstream after another. */
 class PlainCallsTest {
     private val time = TimeSource.Monotonic
+    private val stop = PlannedStop({ 8.seconds })
     private val store = KeyValueStore()
     private val directory = UpstreamDirectory(store, InvalidEntries("upstream", SimpleMeterRegistry()))
     private val routes =
@@ -76,7 +78,7 @@
         val deadline = time.markNow() + 5.seconds
         calls.serve(
             caller,
-            AcceptedCall(route, service, head, caller.method, caller.target, headers, ByteArray(0), deadline),
+            AcceptedCall(route, service, head, caller.method, caller.target, headers, ByteArray(0), deadline, stop),
         )
     }
 
--- a/rehearsal/src/main/kotlin/sycamore/rehearsal/Rehearsal.kt
+++ b/rehearsal/src/main/kotlin/sycamore/rehearsal/Rehearsal.kt
@@ -154,6 +154,7 @@
                 runtime.links::exchange,
                 UpstreamClient(runtime.metrics.registry)::exchange,
                 runtime.metrics.registry,
+                runtime.plannedStop,
             )
         scope.launch { gateway.run() }
         scope.launch { runtime.serveMetrics(metrics.port, startDelay = Duration.ZERO) }
