Do not take a success that states "not run" for a refusal

Callers would see: TWICE, or REFUSED once all upstreams did the same.

Cause: any answer with the statement that the call was not run counted as a refusal, whatever its status. An upstream that answers 2xx has reported that it ran the call, so the statement cannot be relied on.

Why it works: such an answer counts as neither a refusal nor a success. The call is one that may have run, in gateway and homes, and the answer is logged as `refusal-unconfirmed`.

--- a/forwarding/src/main/kotlin/sycamore/forwarding/AnswerRecord.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/AnswerRecord.kt
@@ -29,7 +29,7 @@
         val statement =
             when {
                 head.isNotRun -> NOT_RUN
-                head.isUnconfirmedRefusal -> UNCONFIRMED
+                head.isUnconfirmedRefusal || head.isContradictory -> UNCONFIRMED
                 else -> ANSWERED
             }
         registry.counter(ANSWERS, "names", named, "states", statement).increment()
@@ -47,7 +47,7 @@
         "request" to request.id,
         "named" to head.id,
         "status" to head.status,
-        "not_run" to head.isNotRun,
+        "not_run" to head.statesNotRun,
         "address" to request.address,
         "connection_requests" to use.requests,
         "connection_ms" to use.age.inWholeMilliseconds,
--- a/gateway/src/main/kotlin/sycamore/gateway/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/UpstreamAttempt.kt
@@ -167,6 +167,8 @@
             // The caller would conclude that its call has not run.
             response.isUnconfirmedRefusal ->
                 AttemptResult.Failed("${upstream.id} answered ${response.status}, not that it did not run it")
+            response.isContradictory ->
+                AttemptResult.Failed("${upstream.id} answered ${response.status} and that it did not run it")
             response.isEncoded -> AttemptResult.Failed("${upstream.id} encoded its answer")
             response.isSuccess && !response.isStamped -> AttemptResult.Failed("${upstream.id} did not sign its answer")
             else -> null
--- a/homes/src/main/kotlin/sycamore/homes/EngineCall.kt
+++ b/homes/src/main/kotlin/sycamore/homes/EngineCall.kt
@@ -74,6 +74,11 @@
                 "the engine answered ${answer.status}, not that it did not run the turn${on(connection)}",
             )
         }
+        if (answer.isContradictory) {
+            throw UnusableAnswerException(
+                "the engine answered ${answer.status} and that it did not run the turn${on(connection)}",
+            )
+        }
         if (answer.isEncoded) throw UnusableAnswerException("the engine's answer is encoded")
         if (answer.isSuccess && !answer.isStamped) throw UnusableAnswerException("the engine's answer is not signed")
         val headers = CallHeaders.filterForCaller(event.headers).map { HeaderField(it.first, it.second) }
--- a/homes/src/test/kotlin/sycamore/homes/MisattributedEngineAnswersTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/MisattributedEngineAnswersTest.kt
@@ -78,6 +78,13 @@
             assertEquals(listOf("TurnSent", "TurnInterrupted"), send("t-unstated").map { it::class.simpleName })
         }
 
+    /** Guards against TWICE: an engine that ran the turn and answers it also states that it was not run. */
+    @Test
+    fun `a success that states that the turn was not run is not a refusal`() =
+        runBlocking {
+            assertEquals(listOf("TurnSent", "TurnInterrupted"), send("t-both").map { it::class.simpleName })
+        }
+
     /** Guards against a turn whose line does not tell why it was concluded as not run. */
     @Test
     fun `the refusal of a turn tells the engine's status and the connection`() =
@@ -111,6 +118,9 @@
             return out.write(refusal)
         }
         if (id == "t-closed") return out.close()
+        if (id == "t-both") {
+            return out.write(SocketUpstream.response(200, headers + SampleDocuments.notRunHeader, "id: 0\ndata: x\n\n"))
+        }
         if (id == "t-unstated") return out.write(SocketUpstream.response(429, headers, "failed"))
         if (id == "t1") {
             out.write(refusal)
