--- a/gateway/src/test/kotlin/sycamore/gateway/NotRunConclusionsTest.kt
+++ b/gateway/src/test/kotlin/sycamore/gateway/NotRunConclusionsTest.kt
@@ -89,6 +89,15 @@
         assertEquals(listOf("a"), gateway.received)
     }
 
+    /** Guards against an id that is removed because the caller lists its header as one of the connection. */
+    @Test
+    fun `a caller that names the id's header in its Connection header is served`() {
+        gateway = upstreams { request, out -> out.write(SocketGateway.success(request)) }
+        val response = gateway.call("a", SampleDocuments.callHeaders("a") + ("Connection" to "X-Request-Id"))
+        assertEquals(listOf("a"), gateway.received)
+        assertEquals(200, SocketGateway.status(response))
+    }
+
     /** Guards against a promise to a caller whose call is running. */
     @Test
     fun `a call that is running when its connection or the server ends is not refused`() {
