--- a/gateway/src/test/kotlin/sycamore/gateway/NotRunConclusionsTest.kt
+++ b/gateway/src/test/kotlin/sycamore/gateway/NotRunConclusionsTest.kt
@@ -98,6 +98,15 @@
         assertEquals(200, SocketGateway.status(response))
     }
 
+    /** Guards against a call that runs under one id while its answer is expected to name another one. */
+    @Test
+    fun `a call with two ids is not run`() {
+        gateway = upstreams { request, out -> out.write(SocketGateway.success(request)) }
+        val response = gateway.call("a", SampleDocuments.callHeaders("a") + SampleDocuments.callHeaders("b").first())
+        assertEquals(emptyList(), gateway.received)
+        assertEquals(400, SocketGateway.status(response))
+    }
+
     /** Guards against a promise to a caller whose call is running. */
     @Test
     fun `a call that is running when its connection or the server ends is not refused`() {
