Homes: take over no home after having been taken over, and repeat an unanswered claim

Callers saw 404 for a turn whose answer had come whole (LOST): "no turn ... is kept".

Cause, two ways to the same state, an entry that names a successor which does not adopt the programs:

- A home that is being taken over could still claim another one.
When two hosts stop at the same time, the successor C of B has read which homes B has claimed; then A hands its programs over to B, B claims A, and A and B end.
The entries say A, B, C, so nobody asks for A again, and C answers that it has no such turn and is complete.
- A claim whose answer was lost, and whose entry could not be read afterwards, was given up although it had taken effect or could do so later.
The home answered as complete, and nobody asked it again, since the list named it as the successor already.

A claim now has the condition that the registration of the claiming home has not changed, so it is refused as soon as that home has a successor: each claim is either visible to that successor or has no effect. A claim without an answer is repeated until the store applies or refuses it, and the home does not count as complete meanwhile. New lines home-claim-unanswered and home-claim-refused.

Evidence: the two tests failed before. "a home that was taken over takes over no other home": expected: <whole> but was: <NO_SUCH_TURN> (with the repetition, but without the condition); before both, the claim was granted: expected sycamore.links.Declined, actual HomeTakenOver. "a home whose claim of a lost home got no answer adopts the programs of that home": Expected value to be false (it said that it was complete).

The 404 itself did not come again, so that this is its cause is inferred.

--- a/bench/src/main/kotlin/sycamore/bench/recovery/FailurePointMonitor.kt
+++ b/bench/src/main/kotlin/sycamore/bench/recovery/FailurePointMonitor.kt
@@ -19,6 +19,7 @@
 import sycamore.model.HostName
 import sycamore.model.Upstream
 import sycamore.services.KeyValue
+import sycamore.services.KeyVersion
 import sycamore.services.Revision
 import sycamore.services.WriteResult
 import kotlin.time.Duration
@@ -116,10 +117,11 @@
                 value: ByteArray,
                 expected: Revision,
                 lease: Duration?,
+                condition: KeyVersion?,
             ): WriteResult {
                 val isSegment = key.startsWith("log/") && isAccepted
                 if (isSegment) report(FailurePoint.RECORDS_SENT, host)
-                val write = inner.put(key, value, expected, lease)
+                val write = inner.put(key, value, expected, lease, condition)
                 if (key.startsWith("log/")) segments++
                 if (isSegment) report(FailurePoint.RECORDS_SAFE, host)
                 return write
--- a/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
@@ -196,7 +196,10 @@
 
     /**
      * Makes [home] the successor of [lost] unless it has got one since its entry [item] was read. Returns the entry that
-     * names the successor, or null if the claim was not written or its outcome is unknown.
+     * names the successor, or null if the claim was not written and will not be.
+     *
+     * A home that was taken over itself claims no other one: its successor has read already which homes to adopt. A
+     * claim without an answer is repeated, since it may take effect later and no other home could adopt the programs.
      */
     private suspend fun claim(
         lost: HomeEndpoint,
@@ -205,14 +208,36 @@
     ): HomeEntry? {
         val key = HomeKeys.key(lost.home)
         val claim = HomeEntry(lost.home, lost.address, home.id, home.address)
-        return when (val write = keys.put(key, HomeKeys.encode(claim), item?.version ?: Revision.ABSENT)) {
-            is WriteResult.Applied -> claim.also { log.info { "home ${home.id} has claimed lost home ${lost.home}" } }
-            is WriteResult.Conflict -> write.current?.successorEntry()
-            is WriteResult.NotSent -> null
-            is WriteResult.OutcomeUnknown -> (keys.get(key) as? ReadResult.Found)?.value?.successorEntry()
+        val expected = item?.version ?: Revision.ABSENT
+        var mayBeWritten = false
+        while (true) {
+            home.journal.requireNotEnded()
+            val write = keys.put(key, HomeKeys.encode(claim), expected, condition = home.registration())
+            when (write) {
+                is WriteResult.Applied -> return claim.also { logClaim(it) }
+                is WriteResult.Conflict -> return write.current?.successorEntry() ?: declineClaim(lost, home)
+                is WriteResult.NotSent -> if (!mayBeWritten) return null
+                is WriteResult.OutcomeUnknown -> {
+                    mayBeWritten = true
+                    log.event("home-claim-unanswered", "lost" to lost.home, "home" to home.id, "detail" to write.reason)
+                }
+            }
+            delay(RETRY_DELAY)
         }
     }
 
+    private fun logClaim(claim: HomeEntry) = log.info { "home ${claim.successor} has claimed lost home ${claim.home}" }
+
+    /** Handles the refusal of a claim of [lost], which has no successor: an entry has changed since it was read. */
+    private suspend fun declineClaim(
+        lost: HomeEndpoint,
+        home: TurnHome,
+    ): HomeEntry? {
+        log.event("home-claim-refused", "lost" to lost.home, "home" to home.id)
+        home.journal.checkTakenOver()
+        return null
+    }
+
     private fun Item.successorEntry(): HomeEntry? = homeEntry()?.takeIf { it.successor != null }
 
     /** Retries until the programs are adopted, since a home that has been claimed gets no other successor. */
--- a/homes/src/main/kotlin/sycamore/homes/TurnHome.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnHome.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.launch
 import sycamore.daemon.Background
 import sycamore.daemon.homes.HomeList
+import sycamore.daemon.homes.homeEntry
 import sycamore.daemon.log.event
 import sycamore.decisions.turns.Distance
 import sycamore.links.CountTokens
@@ -20,6 +21,7 @@
 import sycamore.routing.AttemptId
 import sycamore.routing.ProgramName
 import sycamore.services.KeyValue
+import sycamore.services.KeyVersion
 import sycamore.services.ReadResult
 import sycamore.services.Revision
 import sycamore.services.WriteResult
@@ -87,7 +89,7 @@
     val journal = HomeJournal(id, keys, time, retainers::choose)
     val retention = RecordRetention(journal, copies, distance, exchange, retainers)
 
-    private val registered = CompletableDeferred<Unit>()
+    private val registered = CompletableDeferred<Revision>()
 
     /** Whether the home is registered in the key-value service, so that a successor would find its log. */
     val isRegistered: Boolean get() = registered.isCompleted
@@ -98,12 +100,16 @@
         private set
 
     /** Suspends until the home is registered. */
-    suspend fun awaitRegistered() = registered.await()
+    suspend fun awaitRegistered() {
+        registered.await()
+    }
+
+    /** The registration in the key-value service as this home wrote it. Its version changes when the home is taken over. */
+    suspend fun registration() = KeyVersion(HomeKeys.key(id), registered.await())
 
     /** Registers the home and runs its background work until it has been taken over or the caller is cancelled. */
     suspend fun run() {
-        register()
-        registered.complete(Unit)
+        registered.complete(register())
         retainers.initialized.await()
         coroutineScope {
             val work =
@@ -123,13 +129,20 @@
         }
     }
 
-    private suspend fun register() {
+    /** Registers the home. Returns the version of its registration. */
+    private suspend fun register(): Revision {
         val key = HomeKeys.key(id)
         val value = HomeKeys.encode(HomeEntry(id, address))
         while (true) {
             val write = keys.put(key, value, Revision.ABSENT)
-            if (write is WriteResult.Applied || write is WriteResult.Conflict) return
-            if (write is WriteResult.OutcomeUnknown && (keys.get(key) as? ReadResult.Found)?.value != null) return
+            val item =
+                when (write) {
+                    is WriteResult.Applied -> return write.version
+                    is WriteResult.Conflict -> write.current
+                    is WriteResult.NotSent -> null
+                    is WriteResult.OutcomeUnknown -> (keys.get(key) as? ReadResult.Found)?.value
+                }
+            if (item != null) return item.version.also { item.homeEntry()?.successor?.let(journal::markEnded) }
             delay(REGISTRATION_RETRY_DELAY)
         }
     }
--- a/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
@@ -34,9 +34,11 @@
 import sycamore.turns.HomeKeys
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertIs
 import kotlin.test.assertNotEquals
 import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.ZERO
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -551,6 +553,56 @@
             assertEquals("whole", fixture.sendTurn(3, "b", "a").outcome())
         }
 
+    /**
+     * Guards against lost turns when the store makes a home the successor of another one and the answer is lost: the home did not
+     * know that it had been named, and refused the turns of the other home as unknown.
+     */
+    @Test
+    fun `a home whose claim of a lost home got no answer adopts the programs of that home`() =
+        homeTest { fixture ->
+            fixture.startReady(1)
+            fixture.startReady(2)
+            assertEquals("whole", fixture.sendTurn(1, "a").outcome())
+            val lost = fixture.homeAt(1)
+            fixture.kill(address(1))
+            fixture.keys.setFaults { it.copy(delay = 100.milliseconds, lostAnswers = 1) }
+            val takeover = async { fixture.takeOver(lost, by = 2) }
+            // The claim is on its way: its answer is lost, and the entry cannot be read afterwards.
+            delay(150.milliseconds)
+            fixture.keys.setFaults { it.copy(down = true) }
+            delay(300.milliseconds)
+            assertFalse(fixture.findTurn(2, "a").isComplete)
+            fixture.keys.setFaults { it.copy(delay = ZERO, down = false) }
+            takeover.await()
+            assertEquals("whole", fixture.sendTurn(2, "b", "a").outcome())
+        }
+
+    /**
+     * Guards against lost turns when two hosts stop at the same time: one handed its programs over to the other one, whose
+     * successor had read before which homes it had to adopt.
+     */
+    @Test
+    fun `a home that was taken over takes over no other home`() =
+        homeTest { fixture ->
+            val first = fixture.startReady(1)
+            val second = fixture.startReady(2)
+            fixture.startReady(3)
+            assertEquals("whole", fixture.sendTurn(1, "a").outcome())
+            assertEquals("whole", fixture.sendTurn(2, "b", program = "q").outcome())
+            fixture.keys.setFaults { it.copy(delay = 100.milliseconds) }
+            val lost = listOf(1, 2).map { fixture.homeAt(it) }
+            val handover = async { fixture.exchange(address(3), TakeOverHome(lost[1], isVoluntary = true)).first() }
+            delay(150.milliseconds)
+            val other = async { fixture.exchange(address(2), TakeOverHome(lost[0], isVoluntary = true)).first() }
+            assertIs<HomeTakenOver>(handover.await())
+            other.await()
+            listOf(first, second).forEach { it.stop() }
+            (1..2).forEach { fixture.kill(address(it)) }
+            fixture.keys.setFaults { it.copy(delay = ZERO) }
+            assertEquals("whole", fixture.sendTurn(3, "c", "a").outcome())
+            assertEquals("whole", fixture.sendTurn(3, "d", "b", program = "q").outcome())
+        }
+
     @Test
     fun `turns are kept during an outage of the store`() =
         homeTest { fixture ->
--- a/services/src/main/kotlin/sycamore/services/KeyValue.kt
+++ b/services/src/main/kotlin/sycamore/services/KeyValue.kt
@@ -36,6 +36,12 @@
     override fun hashCode(): Int = key.hashCode() * 31 + version.hashCode()
 }
 
+/** A [key] and the version at which a write expects it. */
+data class KeyVersion(
+    val key: String,
+    val version: Revision,
+)
+
 /** The result of a read. */
 sealed interface ReadResult<out T> {
     /** The service returned [value] as of [revision]. */
@@ -58,8 +64,8 @@
     ) : WriteResult
 
     /**
-     * The write had no effect, since the key was not at the expected version. [current] is the stored item, or null
-     * when the key does not exist.
+     * The write had no effect, since a key was not at the expected version. [current] is the stored item of the key to
+     * be written, or null when that key does not exist.
      */
     data class Conflict(
         val current: Item?,
@@ -103,12 +109,14 @@
      * Writes [value] if [key] is at version [expected], which is [Revision.ABSENT] to create it.
      *
      * @param lease the time after which the key is deleted unless it is written again; null keeps it indefinitely.
+     * @param condition the version at which another key has to be as well; null if the write depends on [key] only.
      */
     suspend fun put(
         key: String,
         value: ByteArray,
         expected: Revision,
         lease: Duration? = null,
+        condition: KeyVersion? = null,
     ): WriteResult
 
     /** Deletes [key] if it is at version [expected]. */
--- a/services/src/main/kotlin/sycamore/services/KeyValueClient.kt
+++ b/services/src/main/kotlin/sycamore/services/KeyValueClient.kt
@@ -35,7 +35,8 @@
         value: ByteArray,
         expected: Revision,
         lease: Duration?,
-    ): WriteResult = write(CallKind.PUT) { keys.put(key, value, expected, lease) }
+        condition: KeyVersion?,
+    ): WriteResult = write(CallKind.PUT) { keys.put(key, value, expected, lease, condition) }
 
     override suspend fun delete(
         key: String,
--- a/standins/src/main/kotlin/sycamore/standins/FaultyKeyValue.kt
+++ b/standins/src/main/kotlin/sycamore/standins/FaultyKeyValue.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.delay
 import sycamore.services.Item
 import sycamore.services.KeyValue
+import sycamore.services.KeyVersion
 import sycamore.services.RateLimit
 import sycamore.services.ReadResult
 import sycamore.services.Revision
@@ -94,7 +95,8 @@
         value: ByteArray,
         expected: Revision,
         lease: Duration?,
-    ): WriteResult = write { store.put(key, value, expected, lease) }
+        condition: KeyVersion?,
+    ): WriteResult = write { store.put(key, value, expected, lease, condition) }
 
     override suspend fun delete(
         key: String,
--- a/standins/src/main/kotlin/sycamore/standins/KeyValueStore.kt
+++ b/standins/src/main/kotlin/sycamore/standins/KeyValueStore.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.services.Item
 import sycamore.services.KeyValue
+import sycamore.services.KeyVersion
 import sycamore.services.ReadResult
 import sycamore.services.Revision
 import sycamore.services.WriteResult
@@ -65,7 +66,8 @@
         value: ByteArray,
         expected: Revision,
         lease: Duration?,
-    ): WriteResult = change(key, value, expected, lease)
+        condition: KeyVersion?,
+    ): WriteResult = change(key, value, expected, lease, condition)
 
     override suspend fun delete(
         key: String,
@@ -104,14 +106,19 @@
         value: ByteArray?,
         expected: Revision,
         lease: Duration?,
+        condition: KeyVersion? = null,
     ): WriteResult =
         lock.withLock {
             deleteExpired()
-            val current = items[key]?.takeIf { it.value != null }
-            if ((current?.version ?: Revision.ABSENT) != expected) return WriteResult.Conflict(current)
+            val isMet = condition == null || versionOf(condition.key) == condition.version
+            if (!isMet || versionOf(key) != expected) return WriteResult.Conflict(existing(key))
             WriteResult.Applied(store(key, value, lease))
         }
 
+    private fun existing(key: String): Item? = items[key]?.takeIf { it.value != null }
+
+    private fun versionOf(key: String): Revision = existing(key)?.version ?: Revision.ABSENT
+
     private fun store(
         key: String,
         value: ByteArray?,
