Homes: replace a home that is taken over before it has opened its log

A home that was registered and taken over before its first segment was stored (a store that does not answer during a start) waited for that segment forever: the daemon accepted no turns until it was restarted, and its engine was used by no one, though it answered other daemons.

The start now waits for the first segment or the end of the home, whichever comes first; the daemon then starts a new home, as after any takeover.

Evidence: the test failed before: "Timed out after 10s of _virtual_ time".

--- a/homes/src/main/kotlin/sycamore/homes/HomeJournal.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeJournal.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
 import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.daemon.homes.homeEntry
 import sycamore.model.HomeId
@@ -194,6 +195,13 @@
         }
     }
 
+    /** Waits until the first segment has been written. Returns false if the home has been taken over before. */
+    suspend fun awaitOpened(): Boolean =
+        select {
+            opened.onJoin { true }
+            ended.onJoin { false }
+        }
+
     /** Waits until all records that have been appended so far are committed, or the home has been taken over. */
     suspend fun awaitCommitted() {
         val target = appended.value
--- a/homes/src/main/kotlin/sycamore/homes/TurnHome.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnHome.kt
@@ -120,9 +120,10 @@
                     launch { background.run() },
                     launch { dropIdlePrograms() },
                 )
-            journal.opened.await()
-            isReady = true
-            logger.info { "home $id serves at $address" }
+            if (journal.awaitOpened()) {
+                isReady = true
+                logger.info { "home $id serves at $address" }
+            }
             journal.ended.await()
             isReady = false
             work.forEach { it.cancel() }
--- a/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.withTimeout
 import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.daemon.homes.homeEntry
 import sycamore.homes.HomeFixture.Companion.address
@@ -603,6 +604,24 @@
             assertEquals("whole", fixture.sendTurn(3, "d", "b", program = "q").outcome())
         }
 
+    /** Guards against a daemon that serves nothing until it is restarted, since its home was taken over while it started. */
+    @Test
+    fun `a home that is taken over before it has opened its log is replaced by a new one`() =
+        homeTest { fixture ->
+            fixture.startReady(2)
+            fixture.keys.setFaults { it.copy(delay = 100.milliseconds) }
+            fixture.startHome(1)
+            // Its registration is on its way, and nothing is stored after that.
+            delay(90.milliseconds)
+            fixture.keys.setFaults { it.copy(delay = ZERO, down = true) }
+            delay(100.milliseconds)
+            fixture.keys.setFaults { it.copy(down = false) }
+            val request = TakeOverHome(fixture.homeAt(1), isVoluntary = true)
+            assertIs<HomeTakenOver>(fixture.exchange(address(2), request).first())
+            withTimeout(10.seconds) { fixture.awaitReady(1) }
+            assertEquals("whole", fixture.sendTurn(1, "a").outcome())
+        }
+
     @Test
     fun `turns are kept during an outage of the store`() =
         homeTest { fixture ->
