A home that stops as planned breaks off no turn that could end or run elsewhere

What callers saw: in planned stops of the hosts beside engines, turns were answered with 502 or broken off that had reached no engine, or whose engine was still answering while grace period was left.

Cause: a stopping home waited half of the grace period for the turns of its own programs, handed these over, which breaks off what still runs, and ended. Turns in the queue of its gate went on waiting, and were lost with it. Turns of other homes at its gate and engine were not counted, and new ones were accepted.

Fix: the gate closes when the stop begins. It refuses the turns in its queue and later ones with the reason for which gateways send a turn to another engine or home; these have not been sent, so that is true. Turns in progress get all the time but the quarter that the handover needs.

--- a/homes/src/main/kotlin/sycamore/homes/EngineGate.kt
+++ b/homes/src/main/kotlin/sycamore/homes/EngineGate.kt
@@ -40,6 +40,9 @@
         val detail: String,
         val retryAfter: Duration,
     ) : SlotDecision
+
+    /** The gate is closed. The engine did not get the turn. */
+    data object Closed : SlotDecision
 }
 
 /** The queue in front of one engine. Turns wait in it until the engine has a free slot. */
@@ -49,11 +52,21 @@
     private class Waiter(
         val turn: WaitingTurn,
     ) {
-        /**
-         * Completes with null when the turn may be sent to the engine, or with a value when the engine cannot run it in
-         * time.
-         */
-        val decision = CompletableDeferred<UnservableTurn?>()
+        val end = CompletableDeferred<WaitEnd>()
+    }
+
+    /** How the wait of a turn in the queue ends. */
+    private sealed interface WaitEnd {
+        /** The turn may be sent to the engine. */
+        data object Granted : WaitEnd
+
+        /** The engine cannot run the turn in time. */
+        class Unservable(
+            val turn: UnservableTurn,
+        ) : WaitEnd
+
+        /** The gate was closed. */
+        data object Closed : WaitEnd
     }
 
     private val start = time.markNow()
@@ -61,6 +74,7 @@
     private val waiters = LinkedHashMap<Long, Waiter>()
     private var nextNumber = 0L
     private var slots = DEFAULT_SLOTS
+    private var isClosed = false
 
     /** The number of turns that the engine processes. */
     @Volatile
@@ -84,12 +98,20 @@
 
     private val now: Duration get() = start.elapsedNow()
 
+    /** Refuses the turns in the queue and all that come later. Turns that have a slot keep it. */
+    fun close() =
+        lock.withLock {
+            isClosed = true
+            waiters.values.forEach { it.end.complete(WaitEnd.Closed) }
+            waiters.clear()
+        }
+
     /** Suspends until [turn] may be sent to the engine, or is refused. */
     suspend fun awaitSlot(turn: GateTurn): SlotDecision {
         val waiter = enqueue(turn)
         var isGranted = false
         try {
-            withTimeoutOrNull(turn.timeLeft) { waiter.decision.await() }
+            withTimeoutOrNull(turn.timeLeft) { waiter.end.await() }
             isGranted = dequeue(waiter)
         } finally {
             if (!isGranted && dequeue(waiter)) release()
@@ -106,10 +128,13 @@
         waiter: Waiter,
         turn: GateTurn,
     ): SlotDecision {
-        val unservable = if (waiter.decision.isCompleted) waiter.decision.getCompleted() else null
-        if (unservable == null) return SlotDecision.Refused("no slot became free within ${turn.timeLeft}", turnTime)
-        val detail = "a slot is expected in ${unservable.expectedWait}, and the caller waits for ${turn.timeLeft}"
-        return SlotDecision.Refused(detail, unservable.retryAfter)
+        val end = if (waiter.end.isCompleted) waiter.end.getCompleted() else null
+        if (end is WaitEnd.Closed) return SlotDecision.Closed
+        if (end !is WaitEnd.Unservable) {
+            return SlotDecision.Refused("no slot became free within ${turn.timeLeft}", turnTime)
+        }
+        val detail = "a slot is expected in ${end.turn.expectedWait}, and the caller waits for ${turn.timeLeft}"
+        return SlotDecision.Refused(detail, end.turn.retryAfter)
     }
 
     private fun enqueue(turn: GateTurn): Waiter =
@@ -125,17 +150,21 @@
                     isContinuation = turn.isContinuation,
                     finish = turn.finishIn?.let { now + it },
                 )
-            Waiter(waiting).also {
-                waiters[number] = it
+            val waiter = Waiter(waiting)
+            if (isClosed) {
+                waiter.end.complete(WaitEnd.Closed)
+            } else {
+                waiters[number] = waiter
                 dispatch()
             }
+            waiter
         }
 
     /** Removes [waiter] from the queue. Returns whether it has got a slot in the meantime. */
     private fun dequeue(waiter: Waiter): Boolean =
         lock.withLock {
             waiters.remove(waiter.turn.number)
-            waiter.decision.isCompleted && waiter.decision.getCompleted() == null
+            waiter.end.isCompleted && waiter.end.getCompleted() is WaitEnd.Granted
         }
 
     private fun release() =
@@ -149,10 +178,10 @@
             val next = TurnQueue.next(queuedTurns(), now, EnginePace(turnTime, slots)) ?: return
             val waiter = waiters.remove(next.number) ?: return
             running++
-            waiter.decision.complete(null)
+            waiter.end.complete(WaitEnd.Granted)
         }
         for (unservable in TurnQueue.unservable(queuedTurns(), now, EnginePace(turnTime, slots))) {
-            waiters.remove(unservable.turn.number)?.decision?.complete(unservable)
+            waiters.remove(unservable.turn.number)?.end?.complete(WaitEnd.Unservable(unservable))
         }
     }
 
--- a/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
@@ -99,6 +99,9 @@
     private val spent = SpentPrograms(keys, scope)
     private val runningTurns = AtomicInteger()
 
+    /** The number of turns of other homes that are at this gate or its engine. */
+    private val runningPrompts = AtomicInteger()
+
     @Volatile
     private var home = newHome()
 
@@ -112,7 +115,7 @@
     ): Flow<Message> =
         when (message) {
             is RunTurn -> flow { runTurn(message) }
-            is RunPrompt -> prompts.sendToLocalEngine(message.call, message.prompt)
+            is RunPrompt -> flow { runPrompt(message) }
             is GetGateStatus -> flowOf(gateStatus())
             is FindTurn -> flowOf(findTurn(message))
             is LocateProgram -> flowOf(home.directory.locate(message))
@@ -147,21 +150,28 @@
     }
 
     /**
-     * Stops gracefully: refuses new turns, waits for the turns in progress, and hands the programs over to another
-     * home.
+     * Stops gracefully within [timeout]: refuses turns that have not been sent to an engine, waits for the others, hands the programs
+     * over to another home, and waits for turns of other homes at this engine.
      */
-    suspend fun stop() {
+    suspend fun stop(timeout: Duration) {
+        val end = time.markNow() + timeout
         isLeaving = true
-        withTimeoutOrNull(settings.bounds.gracePeriod / 2) {
-            while (runningTurns.get() > 0) delay(DRAIN_CHECK_INTERVAL)
-        }
+        gate.close()
+        withTimeoutOrNull(timeout - timeout / HANDOVER_SHARE) { awaitNone(runningTurns) }
         // The only home that could take over the programs may still be starting, so the handover is retried.
-        val isDone =
-            withTimeoutOrNull(settings.bounds.gracePeriod / 4) { while (!handOver()) delay(HANDOVER_RETRY_DELAY) }
+        val isDone = withTimeoutOrNull(-end.elapsedNow()) { while (!handOver()) delay(HANDOVER_RETRY_DELAY) }
         if (isDone == null) log.warn { "no home has taken over the programs of ${home.id} within the grace period" }
+        withTimeoutOrNull(-end.elapsedNow()) {
+            awaitNone(runningTurns)
+            awaitNone(runningPrompts)
+        }
         delay(LAST_REPLIES_DELAY)
     }
 
+    private suspend fun awaitNone(running: AtomicInteger) {
+        while (running.get() > 0) delay(DRAIN_CHECK_INTERVAL)
+    }
+
     private fun distance(place: PlaceName): Distance = Distance.between(settings.place, place, settings.places)
 
     private fun newHome(): TurnHome {
@@ -197,6 +207,16 @@
         }
     }
 
+    /** Runs a turn of another home at the engine of this host. */
+    private suspend fun FlowCollector<Message>.runPrompt(message: RunPrompt) {
+        runningPrompts.incrementAndGet()
+        try {
+            emitAll(prompts.sendToLocalEngine(message.call, message.prompt))
+        } finally {
+            runningPrompts.decrementAndGet()
+        }
+    }
+
     private fun gateStatus(): GateStatus =
         GateStatus(home.id, home.isReady && !isLeaving, gate.running, gate.waiting, gate.expectedWait)
 
@@ -269,6 +289,9 @@
         /** How often a stopping daemon checks whether the turns in progress have ended. */
         val DRAIN_CHECK_INTERVAL = 20.milliseconds
 
+        /** The handover gets at least one part in this many of the time of a stop. */
+        const val HANDOVER_SHARE = 4
+
         /** Limit of one attempt to hand the programs over to one home. */
         val HANDOVER_TIMEOUT: Duration = 1500.milliseconds
 
--- a/homes/src/main/kotlin/sycamore/homes/Main.kt
+++ b/homes/src/main/kotlin/sycamore/homes/Main.kt
@@ -25,7 +25,7 @@
         runtime.serveLinks(daemon::serve)
         launch { daemon.run() }
         launch { runtime.serveMetrics(metricsPort) }
-        runtime.onStop { daemon.stop() }
+        runtime.onStop { daemon.stop(runtime.plannedStop.timeLeft) }
         awaitCancellation()
     }
 }
--- a/homes/src/main/kotlin/sycamore/homes/PromptSender.kt
+++ b/homes/src/main/kotlin/sycamore/homes/PromptSender.kt
@@ -76,6 +76,8 @@
             val turn = GateTurn(call.priority, call.timeLeft, call.previous != null, call.engineSlots, call.finishIn)
             when (val decision = gate.awaitSlot(turn)) {
                 is SlotDecision.Refused -> emit(TurnRefused(TurnRefusal.NOT_NOW, decision.detail, decision.retryAfter))
+                // Other engines and homes can run it.
+                SlotDecision.Closed -> emit(TurnRefused(TurnRefusal.TARGET_GONE, "the engine's host is leaving"))
                 is SlotDecision.Granted ->
                     try {
                         emit(TurnSent)
--- a/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
@@ -644,7 +644,7 @@
             fixture.answerTime = 2.seconds
             val turn = async { fixture.sendTurn(1, "b", "a") }
             delay(500.milliseconds)
-            daemon.stop()
+            daemon.stop(7.seconds)
             assertEquals("whole", turn.await().outcome())
             fixture.kill(address(1))
             fixture.answerTime = 50.milliseconds
@@ -660,7 +660,7 @@
             fixture.sendTurn(1, "a")
             fixture.keys.setFaults { it.copy(delay = 100.milliseconds) }
             fixture.startHome(2)
-            leaving.stop()
+            leaving.stop(7.seconds)
             assertTrue(fixture.findTurn(2, "a").hasTurn)
         }
 
--- a/rehearsal/src/main/kotlin/sycamore/rehearsal/Rehearsal.kt
+++ b/rehearsal/src/main/kotlin/sycamore/rehearsal/Rehearsal.kt
@@ -28,6 +28,7 @@
 import java.nio.file.Path
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * The result of a [Rehearsal].
@@ -82,7 +83,7 @@
         startGateway()
         val firstHalf = sendTurnsAndCalls(0 until turns / 2)
         startHome("h1", homes[1], engines[1])
-        first.stop()
+        first.stop(STOP_TIMEOUT)
         val result = firstHalf + sendTurnsAndCalls(turns / 2 until turns)
         JettyClient()(Request(Method.GET, "http://$metrics/metrics"))
         return result
@@ -218,6 +219,7 @@
     }
 
     private companion object {
+        val STOP_TIMEOUT = 8.seconds
         const val HOST = "rehearsal.example"
         const val PLACE = "here"
         const val ENGINES = "engines"
