Fault soak: full upstreams that write refusals once more, connection limits, resent requests

The soak could not play these conditions: one plain upstream for each gateway, refusals only as an injected fault, no limit of connections and no idle timeout.

The number of plain upstreams, callers and homes, the slots, connections, idle time, work and share of faults of an upstream, and the kinds of calls are options. A violation is listed with what each upstream saw of the request: address, connection, number on the connection, and outcome. RESENT is reported when one address receives a call twice.

--- a/soak/src/main/kotlin/sycamore/soak/Attempt.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Attempt.kt
@@ -55,6 +55,9 @@
 ) {
     val runs = CopyOnWriteArrayList<Run>()
 
+    /** All arrivals at upstreams. */
+    val receipts = CopyOnWriteArrayList<Receipt>()
+
     /** The status that promised that the attempt never runs; null if there was none. */
     @Volatile
     var promise: Int? = null
--- a/soak/src/main/kotlin/sycamore/soak/Caller.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Caller.kt
@@ -18,7 +18,9 @@
     seed: Long,
     private val deployment: Deployment,
     private val observations: Observations,
+    kinds: List<CallKind> = CallKind.entries,
 ) {
+    private val mix = MIX.filter { it in kinds }
     private val random = Random(seed)
     private var gateway: Daemon = deployment.gateways.random(random)
     private var connection: CallerConnection? = null
@@ -33,10 +35,9 @@
     suspend fun run() {
         try {
             while (currentCoroutineContext().isActive) {
-                when (random.nextInt(KINDS)) {
-                    0 -> call(CallKind.REPEATABLE)
-                    1, 2 -> call(CallKind.ONCE)
-                    else -> program()
+                when (val kind = mix.random(random)) {
+                    CallKind.TURN -> program()
+                    else -> call(kind)
                 }
                 delay(random.nextLong(MAX_PAUSE_MILLIS).milliseconds)
             }
@@ -156,7 +157,12 @@
 
         /** Statuses after which no attempt follows. */
         val FINAL = setOf(400, 401, 403, 404, 410, 413, 431)
-        const val KINDS = 6
+
+        /** Each kind as often as it is sent. */
+        val MIX =
+            listOf(CallKind.REPEATABLE) + List(CALLS_ONCE) { CallKind.ONCE } + List(PROGRAMS) { CallKind.TURN }
+        const val CALLS_ONCE = 2
+        const val PROGRAMS = 3
         const val MAX_ATTEMPTS = 4
         const val MAX_TURNS = 6
         const val BRANCH_ONE_IN = 6
--- a/soak/src/main/kotlin/sycamore/soak/Deployment.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Deployment.kt
@@ -37,6 +37,7 @@
     private val observations: Observations,
     private val scope: CoroutineScope,
 ) {
+    val counts = UpstreamCounts()
     private val network = freeNetwork()
     private val operator = KeyValueStore()
     private val storeServers = ArrayList<Http4kServer>()
@@ -46,7 +47,7 @@
     val stores = HashMap<Daemon, FaultyKeyValue>()
 
     val daemons: List<Daemon> =
-        List(plan.hosts) { daemon(Role.HOME, it) } +
+        List(plan.homes) { daemon(Role.HOME, it) } +
             List(plan.retainers) { daemon(Role.RETAINER, it) } +
             List(plan.hosts) { daemon(Role.GATEWAY, it) }
     val gateways: List<Daemon> get() = daemons.filter { it.role == Role.GATEWAY }
@@ -59,7 +60,9 @@
                 isEngine = true,
             )
         } +
-            List(plan.hosts) { upstream("plain$it", Address("$network.${nextHost++}", PLAIN_PORT), isEngine = false) }
+            List(
+                plan.plainUpstreams,
+            ) { upstream("plain$it", Address("$network.${nextHost++}", PLAIN_PORT), isEngine = false) }
 
     /** The upstreams whose registration is not renewed at present. */
     val lapsed: MutableSet<Upstream> = ConcurrentHashMap.newKeySet()
@@ -125,7 +128,7 @@
                 val previous = written.put(upstream, upstream.id)
                 if (previous != null && previous != upstream.id) put(StoreKeys.UPSTREAMS + previous, null)
                 val service = if (upstream.isEngine) ENGINES else PLAIN
-                val entry = SampleDocuments.upstreamEntry(service, upstream.address, PLACE, slots = Upstream.SLOTS)
+                val entry = SampleDocuments.upstreamEntry(service, upstream.address, PLACE, slots = plan.limits.slots)
                 put(StoreKeys.UPSTREAMS + upstream.id, entry, isLeased = true)
             }
             delay(REGISTRATION_INTERVAL)
@@ -187,7 +190,16 @@
         name: String,
         address: Address,
         isEngine: Boolean,
-    ) = Upstream(name, address, isEngine, plan.seed * SEED_FACTOR + name.hashCode(), observations, scope)
+    ) = Upstream(
+        name,
+        address,
+        isEngine,
+        plan.limits,
+        plan.seed * SEED_FACTOR + name.hashCode(),
+        observations,
+        counts,
+        scope,
+    )
 
     companion object {
         const val HOST = "soak.example"
--- a/soak/src/main/kotlin/sycamore/soak/FaultSoak.kt
+++ b/soak/src/main/kotlin/sycamore/soak/FaultSoak.kt
@@ -23,12 +23,13 @@
     val seed: Long,
     val answers: Map<Int, Int>,
     val runs: Int,
+    val upstreams: UpstreamCounts,
     val faults: Map<OutsideFault, Int>,
     val violations: List<Violation>,
 ) {
     override fun toString(): String =
-        "fault-soak: seed=$seed answers=${answers.toSortedMap()} runs=$runs faults=$faults violations=" +
-            violations.groupingBy { it.rule }.eachCount()
+        "fault-soak: seed=$seed answers=${answers.toSortedMap()} runs=$runs upstreams=$upstreams faults=$faults " +
+            "violations=" + violations.distinctBy { it.rule to it.subject }.groupingBy { it.rule }.eachCount()
 }
 
 /** Runs the daemons under faults and checks what callers and upstreams see. */
@@ -46,7 +47,8 @@
         try {
             deployment.start()
             awaitService(deployment, "at the start", firstProbe = FIRST_PROBE)
-            val callers = List(plan.callers) { Caller(it, plan.seed * SEED_FACTOR + it, deployment, observations) }
+            val callers =
+                List(plan.callers) { Caller(it, plan.seed * SEED_FACTOR + it, deployment, observations, plan.kinds) }
             val jobs = callers.map { scope.launch { it.run() } }
             FaultInjector(plan, deployment, faults).run()
             val turns = callers.mapNotNull { it.lastTurn }.filter { it.account.budget >= PROBE_BUDGET }
@@ -57,8 +59,15 @@
             scope.cancel()
         }
         val result =
-            SoakResult(plan.seed, observations.answers, observations.runCount, faults.counts, observations.violations)
-        ViolationReport(plan.folder, deployment.daemons).write(result.violations)
+            SoakResult(
+                plan.seed,
+                observations.answers,
+                observations.runCount,
+                deployment.counts,
+                faults.counts,
+                observations.violations,
+            )
+        ViolationReport(plan.folder, deployment.daemons, observations::receipts).write(result.violations)
         return result
     }
 
@@ -73,7 +82,7 @@
             .mapIndexed { index, gateway ->
                 async(Dispatchers.IO) {
                     val caller = Caller(firstProbe + index, plan.seed + index, deployment, observations)
-                    for (kind in CallKind.entries) {
+                    for (kind in plan.kinds) {
                         val isServed =
                             awaitTrue {
                                 caller.changeGateway(gateway)
--- a/soak/src/main/kotlin/sycamore/soak/Main.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Main.kt
@@ -6,6 +6,7 @@
 import sycamore.daemon.Program
 import java.io.File
 import kotlin.system.exitProcess
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Entry point of `sycamore-fault-soak`: runs the daemons under faults for each seed of a range. */
@@ -13,7 +14,7 @@
     val parser = Program.parser("sycamore-fault-soak", args)
     val seeds by parser.option(ArgType.String, "seeds", description = "Seeds, such as 1..50 or 7").default("1")
     val length by parser.option(ArgType.Int, "seconds", description = "Seconds under faults").default(DEFAULT_SECONDS)
-    val hosts by parser.option(ArgType.Int, "hosts", description = "Gateways, and homes").default(DEFAULT_HOSTS)
+    val hosts by parser.option(ArgType.Int, "hosts", description = "Gateways").default(DEFAULT_HOSTS)
     val daemons by parser.option(ArgType.String, "daemons", description = "Class path of the daemons to test")
     val folder by parser
         .option(
@@ -23,7 +24,26 @@
         ).default("target/fault-soak")
     val upstream by parser.option(ArgType.String, "upstream-faults", description = "Names, all or none").default("all")
     val outside by parser.option(ArgType.String, "outside-faults", description = "Names, all or none").default("all")
+    val calls by parser.option(ArgType.String, "calls", description = "Kinds, or all").default("all")
+    val homes by parser.option(ArgType.Int, "homes", description = "Homes with an engine each")
+    val upstreams by parser.option(ArgType.Int, "upstreams", description = "Plain upstreams")
+    val callers by parser.option(ArgType.Int, "callers", description = "Callers for each gateway").default(CALLERS)
+    val slots by parser.option(ArgType.Int, "slots", description = "Calls that an upstream runs at once")
+    val connections by parser.option(ArgType.Int, "connections", description = "Connections that an upstream keeps")
+    val idle by parser.option(ArgType.Int, "idle-millis", description = "Idle time of connections at upstreams")
+    val work by parser.option(ArgType.Int, "work-millis", description = "The longest time that a call runs")
+    val faulty by parser.option(ArgType.Double, "faulty-share", description = "Share of faulty exchanges")
     parser.parse(args)
+    val defaults = UpstreamLimits()
+    val limits =
+        UpstreamLimits(
+            slots ?: defaults.slots,
+            connections ?: defaults.connections,
+            idle?.milliseconds,
+            work?.milliseconds ?: defaults.work,
+            faulty ?: defaults.faultyShare,
+        )
+    val kinds = select(calls, CallKind.entries)
     val plans =
         range(seeds).map { seed ->
             SoakPlan(
@@ -34,6 +54,11 @@
                 File(folder).absoluteFile.resolve("seed-$seed"),
                 select(upstream, UpstreamFault.entries),
                 select(outside, OutsideFault.entries),
+                kinds,
+                homes ?: if (CallKind.TURN in kinds) hosts else 0,
+                upstreams ?: hosts,
+                callers,
+                limits,
             )
         }
     val results = plans.map { plan -> runBlocking { FaultSoak(plan).run() }.also(::show) }
@@ -69,4 +94,5 @@
 
 private const val DEFAULT_SECONDS = 20
 private const val DEFAULT_HOSTS = 3
+private const val CALLERS = SoakPlan.CALLERS_PER_HOST
 private const val MAX_SHOWN = 10
--- a/soak/src/main/kotlin/sycamore/soak/Observations.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Observations.kt
@@ -33,6 +33,28 @@
         attempts[attempt.id] = attempt
     }
 
+    /** Records that a request arrived at an upstream, and checks that this address did not receive it before. */
+    fun recordReceipt(
+        id: String,
+        upstream: String,
+        address: String,
+        connection: Int,
+        request: Int,
+        outcome: String,
+    ) {
+        val attempt = attempts[id] ?: return
+        val millis = start.elapsedNow().inWholeMilliseconds
+        val isResent = attempt.receipts.any { it.address == address }
+        attempt.receipts += Receipt(upstream, address, connection, request, millis, outcome)
+        // An engine that refused a turn may get it again from another home.
+        if (isResent && attempt.kind != CallKind.TURN) {
+            report(Rule.RESENT, id, "${describe(attempt)}: $address received it before")
+        }
+    }
+
+    /** What upstreams saw of the attempt with [id]. */
+    fun receipts(id: String): List<Receipt> = attempts[id]?.receipts.orEmpty()
+
     /** Records that [upstream] starts to run the request [id], and checks that it may. */
     fun recordRun(
         id: String,
--- a/soak/src/main/kotlin/sycamore/soak/SoakPlan.kt
+++ b/soak/src/main/kotlin/sycamore/soak/SoakPlan.kt
@@ -8,7 +8,12 @@
  *
  * @property seed determines the choice of faults, targets and calls. Their times also depend on the machine.
  * @property length the time during which faults are injected.
- * @property hosts the number of gateways, and of homes with an engine each.
+ * @property hosts the number of gateways.
+ * @property homes the number of homes with an engine each.
+ * @property plainUpstreams the number of plain upstreams.
+ * @property callersPerHost the number of callers for each gateway.
+ * @property kinds the kinds of calls that are sent.
+ * @property limits what each upstream takes.
  * @property classPath the class path with the daemons to test.
  * @property folder the folder for settings, data, logs and violations.
  */
@@ -20,14 +25,19 @@
     val folder: File,
     val upstreamFaults: List<UpstreamFault> = UpstreamFault.entries,
     val outsideFaults: List<OutsideFault> = OutsideFault.entries,
+    val kinds: List<CallKind> = CallKind.entries,
+    val homes: Int = if (CallKind.TURN in kinds) hosts else 0,
+    val plainUpstreams: Int = hosts,
+    val callersPerHost: Int = CALLERS_PER_HOST,
+    val limits: UpstreamLimits = UpstreamLimits(),
 ) {
-    val retainers: Int get() = maxOf(MIN_RETAINERS, hosts / HOSTS_PER_RETAINER)
+    val retainers: Int get() = if (homes == 0) 0 else maxOf(MIN_RETAINERS, homes / HOSTS_PER_RETAINER)
 
-    val callers: Int get() = hosts * CALLERS_PER_HOST
+    val callers: Int get() = hosts * callersPerHost
 
-    private companion object {
-        const val MIN_RETAINERS = 3
-        const val HOSTS_PER_RETAINER = 4
+    companion object {
+        private const val MIN_RETAINERS = 3
+        private const val HOSTS_PER_RETAINER = 4
         const val CALLERS_PER_HOST = 6
     }
 }
--- a/soak/src/main/kotlin/sycamore/soak/Upstream.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Upstream.kt
@@ -10,6 +10,7 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.net.SocketException
+import java.net.SocketTimeoutException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
@@ -25,8 +26,10 @@
     private val name: String,
     val address: Address,
     val isEngine: Boolean,
+    private val limits: UpstreamLimits,
     seed: Long,
     private val observations: Observations,
+    private val counts: UpstreamCounts,
     private val scope: CoroutineScope,
 ) {
     private val random = Random(seed)
@@ -34,6 +37,7 @@
     private val sockets: MutableSet<Socket> = ConcurrentHashMap.newKeySet()
     private val busy = AtomicInteger()
     private val restarts = AtomicInteger()
+    private val accepted = AtomicInteger()
 
     /** The faults that may occur, and the share of exchanges that have one. */
     @Volatile
@@ -47,6 +51,11 @@
         scope.launch {
             while (!listener.isClosed) {
                 val socket = accept() ?: break
+                if (sockets.size >= limits.connections) {
+                    counts.connectionsReset.incrementAndGet()
+                    reset(socket)
+                    continue
+                }
                 sockets += socket
                 scope.launch { socket.use { UpstreamConnection(it).serve() } }
             }
@@ -74,9 +83,14 @@
         sockets.forEach(Socket::close)
     }
 
+    private fun reset(socket: Socket) {
+        socket.setSoLinger(true, 0)
+        socket.close()
+    }
+
     /** Chooses the fault of the next exchange. */
     private fun nextFault(): UpstreamFault? =
-        synchronized(random) { if (random.nextDouble() < FAULTY_SHARE) faults.randomOrNull(random) else null }
+        synchronized(random) { if (random.nextDouble() < limits.faultyShare) faults.randomOrNull(random) else null }
 
     private fun nextBody(id: String): ByteArray =
         synchronized(random) {
@@ -95,6 +109,8 @@
     ) {
         private val wire = HttpWire(socket.getInputStream().buffered())
         private val output = socket.getOutputStream()
+        private val connection = accepted.incrementAndGet()
+        private var requests = 0
         private var isClean = true
 
         /** Bytes of an earlier answer that are written again after the next request. */
@@ -102,12 +118,17 @@
 
         fun serve() {
             try {
+                limits.idleTimeout?.let { socket.soTimeout = it.inWholeMilliseconds.toInt() }
                 while (true) {
                     val (head, body) = wire.readRequest() ?: return
+                    counts.received.incrementAndGet()
+                    requests++
                     repeated?.let(output::write)
                     repeated = null
                     if (!exchange(head, body)) return
                 }
+            } catch (_: SocketTimeoutException) {
+                counts.idleClosed.incrementAndGet()
             } catch (_: IOException) {
                 // The caller left, or this upstream was restarted.
             } finally {
@@ -123,12 +144,13 @@
             val request = SampleDocuments.requestId(head.headers) ?: return refuse(head, BAD_REQUEST)
             val expected = SampleDocuments.expectedUpstream(head.headers)
             if (expected != null && expected != id) return refuse(head, MISDIRECTED)
-            if (busy.get() >= SLOTS) return refuse(head, UNAVAILABLE)
             val fault = nextFault()
             if (fault?.isRefusal == true) return refuseWith(fault, head)
+            if (busy.get() >= limits.slots) return refuse(head, UNAVAILABLE)
             val answer = nextBody(request)
             val run = Run(id, answer, fault, isClean, TimeSource.Monotonic.markNow())
             busy.incrementAndGet()
+            recordReceipt(request, "run")
             try {
                 observations.recordRun(request, head.startLine.split(' ')[1], body.decodeToString(), run)
                 return answer(head, run)
@@ -145,6 +167,7 @@
             val status = if (fault == UpstreamFault.MISDIRECTED) MISDIRECTED else UNAVAILABLE
             val bytes = refusal(head, status)
             output.write(bytes)
+            if (fault.isRepeatedRefusal) counts.repeatedRefusals.incrementAndGet()
             if (fault == UpstreamFault.REFUSAL_TWICE) output.write(bytes)
             if (fault == UpstreamFault.REFUSAL_TWICE_LATE) repeated = bytes
             if (fault != UpstreamFault.FULL) isClean = false
@@ -163,10 +186,17 @@
             head: MessageHead,
             status: Int,
         ): ByteArray {
+            counts.refused.incrementAndGet()
+            SampleDocuments.requestId(head.headers)?.let { recordReceipt(it, "$status") }
             val headers = SampleDocuments.answerHeaders(head.headers) + SampleDocuments.notRunHeader
             return HttpWire.encode("HTTP/1.1 $status Refused", headers + ("Content-Length" to "0"), ByteArray(0))
         }
 
+        private fun recordReceipt(
+            request: String,
+            outcome: String,
+        ) = observations.recordReceipt(request, id, "$address", connection, requests, outcome)
+
         private fun answer(
             head: MessageHead,
             run: Run,
@@ -203,7 +233,7 @@
                 run.isWritten = true
                 output.write("0\r\n\r\n".encodeToByteArray())
             } else {
-                pause()
+                work()
                 run.isWritten = true
                 output.write(framed(headers, run))
             }
@@ -254,16 +284,15 @@
         private fun reset() {
             output.flush()
             Thread.sleep(RESET_DELAY_MILLIS)
-            socket.setSoLinger(true, 0)
-            socket.close()
+            reset(socket)
         }
 
+        private fun work() = Thread.sleep(synchronized(random) { random.nextLong(limits.work.inWholeMilliseconds) })
+
         private fun pause() = Thread.sleep(synchronized(random) { random.nextLong(MAX_PAUSE_MILLIS) })
     }
 
     companion object {
-        const val SLOTS = 8
-        private const val FAULTY_SHARE = 0.15
         private const val BACKLOG = 256
         private const val HEXADECIMAL = 16
         const val MAX_EVENTS = 12
--- a/soak/src/main/kotlin/sycamore/soak/UpstreamFault.kt
+++ b/soak/src/main/kotlin/sycamore/soak/UpstreamFault.kt
@@ -48,6 +48,8 @@
     IDLE_CLOSE,
     ;
 
+    val isRepeatedRefusal: Boolean get() = this == REFUSAL_TWICE || this == REFUSAL_TWICE_LATE
+
     /** Whether the exchange ends before the upstream runs the call. */
     val isRefusal: Boolean get() = this in setOf(REFUSAL_TWICE, REFUSAL_TWICE_LATE, FULL, MISDIRECTED)
 }
--- a/soak/src/test/kotlin/sycamore/soak/ObservationsTest.kt
+++ b/soak/src/test/kotlin/sycamore/soak/ObservationsTest.kt
@@ -61,6 +61,16 @@
         assertEquals(listOf(Rule.REFUSED, Rule.TWICE, Rule.REFUSED), rules())
     }
 
+    @Test
+    fun `a request that one address receives twice is detected, also if it is refused`() {
+        attempt(CallKind.ONCE)
+        for (address in listOf("1:1", "2:1", "1:1")) {
+            observations.recordReceipt("a1", "u", address, connection = 1, request = 1, outcome = "503")
+        }
+        assertEquals(listOf(Rule.RESENT), rules())
+        assertEquals(3, observations.receipts("a1").size)
+    }
+
     @Test
     fun `an unknown id and another prompt are detected`() {
         attempt(CallKind.TURN)
