A turn waits for a slot no longer than its caller waits

What callers saw: 504 for turns that had reached no engine, which callers cannot repeat.

Cause: a home passed the time left of a turn to the gate as it was when the turn arrived at the home. The time in which the home looked up who serves the program, or fetched the prompt that the turn continues, was granted again in the queue, so that the gateway's own limit came first, and it cannot tell that nothing was sent.

Evidence: TurnDeadlineTest, `a turn that has waited for its program's home waits no longer for a slot than its time`, failed with "refused after 2151 ms" for a turn with 2 s.

Fix: the home counts a turn's time from its arrival, and sends the prompt on with what is left. A turn whose time is over when it gets its slot, or when it comes to an engine without a gate, is refused as not run.

--- a/homes/src/main/kotlin/sycamore/homes/PromptSender.kt
+++ b/homes/src/main/kotlin/sycamore/homes/PromptSender.kt
@@ -2,6 +2,7 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.FlowCollector
 import kotlinx.coroutines.flow.emitAll
 import kotlinx.coroutines.flow.flow
 import kotlinx.coroutines.flow.flowOf
@@ -16,6 +17,7 @@
 import sycamore.links.TurnRefused
 import sycamore.links.TurnSent
 import sycamore.model.Address
+import kotlin.time.Duration
 import kotlin.time.TimeSource
 
 // Log lines carry this logger name, which is independent of the class name.
@@ -54,10 +56,7 @@
             host != null -> flow { emitAll(exchange(host, RunPrompt(call, prompt))) }
             call.target in leaving -> refuseLeaving(call)
             else ->
-                flow {
-                    emit(TurnSent)
-                    engineCall(call).run(prompt, call.timeLeft, this)
-                }
+                flow { sendInTime(call, prompt, call.timeLeft) }
         }
     }
 
@@ -80,14 +79,24 @@
                 SlotDecision.Closed -> emit(TurnRefused(TurnRefusal.TARGET_GONE, "the engine's host is leaving"))
                 is SlotDecision.Granted ->
                     try {
-                        emit(TurnSent)
-                        engineCall(call).run(prompt, call.timeLeft - arrived.elapsedNow(), this)
+                        sendInTime(call, prompt, call.timeLeft - arrived.elapsedNow())
                     } finally {
                         decision.release()
                     }
             }
         }
 
+    /** Sends [prompt] if its caller still waits for the answer. */
+    private suspend fun FlowCollector<Message>.sendInTime(
+        call: RunTurn,
+        prompt: ByteArray,
+        timeLeft: Duration,
+    ) {
+        if (timeLeft <= Duration.ZERO) return emit(TurnRefused(TurnRefusal.NOT_NOW, "the turn's time is over"))
+        emit(TurnSent)
+        engineCall(call).run(prompt, timeLeft, this)
+    }
+
     private fun engineCall(call: RunTurn) = EngineCall(callUpstream, call) { addLeaving(call) }
 
     private fun addLeaving(call: RunTurn) {
--- a/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
@@ -45,6 +45,8 @@
     private val meters: TurnMeters,
     private val time: TimeSource,
 ) {
+    private val receivedAt = time.markNow()
+
     /** Runs [call] and returns the replies to the caller. The last one is a refusal if the call cannot run here. */
     fun run(call: RunTurn): Flow<Message> =
         flow {
@@ -165,7 +167,7 @@
         suspend fun run() {
             var last: Message = TurnInterrupted("the gate did not answer")
             try {
-                send(call, prompt).collect { message ->
+                send(call.copy(timeLeft = call.timeLeft - receivedAt.elapsedNow()), prompt).collect { message ->
                     if (message is TurnComplete || message is TurnInterrupted || message is TurnRefused) last = message
                     handle(message)
                 }
