A call that was not sent in its time is answered as not run

What callers saw: 504 for plain calls that had reached no upstream, which callers may not repeat if the call must run once.

Cause: an attempt that timed out counted as one that may have run, also when the client had not begun to send: no connection was established or free yet. The client knew, but a cancelled attempt got no answer from it.

Evidence: UnsentCallsTest, `a call whose connection is not established in its time is answered as not run`, with an upstream whose accept queue is full, failed with "no answer came in time" in an answer of 504.

Fix: a request carries the permission to send it. The client uses it when it begins to send; an attempt that ends withdraws it before. Exactly one of both succeeds, so that a call whose permit was withdrawn will not run, and is sent to another upstream or answered with 503. A client that does not manage the permit counts as having sent.

--- a/forwarding/src/main/kotlin/sycamore/forwarding/UpstreamClient.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/UpstreamClient.kt
@@ -38,6 +38,7 @@
  * A request to an upstream.
  *
  * @property id the id of the attempt, which is among [headers]. The upstream names it in its response.
+ * @property permit the permission to send it, which the sender may withdraw.
  */
 class UpstreamRequest(
     val id: AttemptId,
@@ -46,6 +47,7 @@
     val target: String,
     val headers: List<Header>,
     val body: ByteArray,
+    val permit: SendPermit = SendPermit(),
 )
 
 /** A part of a response. The parts are emitted in the order in which they are received. */
@@ -127,11 +129,12 @@
     fun exchange(request: UpstreamRequest): Flow<ResponseEvent> =
         flow {
             val response = ResponseReader(request)
+            request.permit.manage()
             val jetty =
                 client
                     .newRequest("http://${request.address}${request.target}")
                     .method(request.method)
-                    .onRequestBegin { response.sent.set(true) }
+                    .onRequestBegin { response.begin(it) }
                     .headers { fields -> request.headers.forEach { (name, value) -> fields.add(name, value) } }
             if (request.body.isNotEmpty()) jetty.body(BytesRequestContent(null as String?, request.body))
             jetty.send(response)
@@ -196,6 +199,17 @@
         var isShort = false
             private set
 
+        /** Records that [jetty] is sent from now on, or aborts it if the permit was withdrawn. */
+        fun begin(jetty: Request) {
+            if (request.permit.use()) {
+                sent.set(
+                    true,
+                )
+            } else {
+                jetty.abort(CancellationException("the request was withdrawn"))
+            }
+        }
+
         override fun onHeaders(response: Response) {
             if (HttpStatus.isInformational(response.status)) {
                 response.abort(IOException("the upstream sent an interim response (${response.status})"))
--- a/gateway/src/main/kotlin/sycamore/gateway/PlainCalls.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/PlainCalls.kt
@@ -74,8 +74,9 @@
         val mayHaveRunBefore = call.mayHaveRun
         call.mayHaveRun = true
         var isSuccessful = false
+        val attempt = UpstreamAttempt(exchange, call, upstream, callUpstream, upstreams::markLeaving)
         try {
-            val end = UpstreamAttempt(exchange, call, upstream, callUpstream, upstreams::markLeaving).run(timeout)
+            val end = attempt.run(timeout)
             isSuccessful = end is AttemptResult.Completed
             if (end is AttemptResult.NotRun) {
                 call.mayHaveRun = mayHaveRunBefore
@@ -83,6 +84,7 @@
             }
             return end
         } finally {
+            if (attempt.withdraw()) call.mayHaveRun = mayHaveRunBefore
             loads.recordEnd(upstream, isSuccessful)
         }
     }
--- a/gateway/src/main/kotlin/sycamore/gateway/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/UpstreamAttempt.kt
@@ -7,6 +7,7 @@
 import sycamore.forwarding.CallUpstream
 import sycamore.forwarding.CallerExchange
 import sycamore.forwarding.ResponseEvent
+import sycamore.forwarding.SendPermit
 import sycamore.forwarding.UpstreamException
 import sycamore.forwarding.UpstreamRequest
 import sycamore.forwarding.collectWhile
@@ -52,6 +53,7 @@
     private val callUpstream: CallUpstream,
     private val onLeaving: (ListedUpstream) -> Unit,
 ) {
+    private val permit = SendPermit()
     private val buffer = ByteArrayOutputStream()
     private val events = EventBoundary()
     private var head: ResponseEvent.Head? = null
@@ -66,20 +68,28 @@
             val job = async { exchange() }
             val early = withTimeoutOrNull(timeout) { job.await() }
             val late = if (early == null && caller.isStarted) withTimeoutOrNull(call.timeLeft) { job.await() } else null
+            val isUnsent = withdraw()
             job.cancelAndJoin()
-            early ?: late ?: rejection ?: timeoutResult(timeout)
+            early ?: late ?: rejection ?: timeoutResult(timeout, isUnsent)
         }
 
-    private fun timeoutResult(timeout: Duration): AttemptResult =
-        if (caller.isStarted) {
-            AttemptResult.Truncated("${upstream.id} did not complete its answer in time")
-        } else {
-            AttemptResult.Failed("${upstream.id} did not answer within $timeout")
+    /** Ends the attempt if the call has not been sent. Returns whether it has not been sent and will not be. */
+    fun withdraw(): Boolean = permit.withdraw()
+
+    private fun timeoutResult(
+        timeout: Duration,
+        isUnsent: Boolean,
+    ): AttemptResult =
+        when {
+            isUnsent -> AttemptResult.NotRun("the call could not be sent to ${upstream.id} within $timeout")
+            caller.isStarted -> AttemptResult.Truncated("${upstream.id} did not complete its answer in time")
+            else -> AttemptResult.Failed("${upstream.id} did not answer within $timeout")
         }
 
     private suspend fun exchange(): AttemptResult {
         val headers = call.forwarded + CallHeaders.upstreamHeaders(upstream.id, call.timeLeft)
-        val request = UpstreamRequest(call.head.id!!, upstream.address, call.method, call.target, headers, call.body)
+        val id = call.head.id!!
+        val request = UpstreamRequest(id, upstream.address, call.method, call.target, headers, call.body, permit)
         try {
             callUpstream(request).collectWhile(::handle)
         } catch (e: UpstreamException) {
