--- a/forwarding/src/main/kotlin/sycamore/forwarding/UpstreamClient.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/UpstreamClient.kt
@@ -38,6 +38,7 @@
  * A request to an upstream.
  *
  * @property id the id of the attempt, which is among [headers]. The upstream names it in its response.
+ * @property permit the permission to send it, which the sender may withdraw.
  */
 class UpstreamRequest(
     val id: AttemptId,
@@ -46,6 +47,7 @@
     val target: String,
     val headers: List<Header>,
     val body: ByteArray,
+    val permit: SendPermit = SendPermit(),
 )
 
 /** A part of a response. The parts are emitted in the order in which they are received. */
@@ -129,11 +131,12 @@
     fun exchange(request: UpstreamRequest): Flow<ResponseEvent> =
         flow {
             val response = ResponseReader(request)
+            request.permit.manage()
             val jetty =
                 client
                     .newRequest("http://${request.address}${request.target}")
                     .method(request.method)
-                    .onRequestBegin { response.recordBegin(it.connection as? ClientConnection) }
+                    .onRequestBegin { response.begin(it) }
                     .headers { fields -> request.headers.forEach { (name, value) -> fields.add(name, value) } }
             if (request.body.isNotEmpty()) jetty.body(BytesRequestContent(null as String?, request.body))
             jetty.send(response)
@@ -201,9 +204,13 @@
         var isShort = false
             private set
 
-        /** Records that the request is about to be written on [connection]. */
-        fun recordBegin(connection: ClientConnection?) {
-            this.connection = connection
+        /** Records that [jetty] is about to be written on its connection, or aborts it if the permit was withdrawn. */
+        fun begin(jetty: Request) {
+            if (!request.permit.use()) {
+                jetty.abort(CancellationException("the request was withdrawn"))
+                return
+            }
+            connection = jetty.connection as? ClientConnection
             sent.set(true)
         }
 
--- a/gateway/src/main/kotlin/sycamore/gateway/PlainCalls.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/PlainCalls.kt
@@ -74,8 +74,8 @@
         val mayHaveRunBefore = call.mayHaveRun
         call.mayHaveRun = true
         var isSuccessful = false
+        val attempt = UpstreamAttempt(exchange, call, upstream, callUpstream, upstreams::markLeaving)
         try {
-            val attempt = UpstreamAttempt(exchange, call, upstream, callUpstream, upstreams::markLeaving)
             val end = attempt.run(timeout)
             attempt.trace(end)?.let(call.trace::add)
             isSuccessful = end is AttemptResult.Completed
@@ -85,6 +85,7 @@
             }
             return end
         } finally {
+            if (attempt.withdraw()) call.mayHaveRun = mayHaveRunBefore
             loads.recordEnd(upstream, isSuccessful)
         }
     }
