Fault soak: planned stops in calm, and upstreams that announce that they leave

LOST was reported for requests that came late in the grace period of a planned stop and were cut at its end. LOST was also reported for requests that reached an upstream after it had announced that it leaves, which no upstream of the soak did.

Stops can now be restricted to a role, one after the other (`--roles`, `--sequential`, `--gap-millis`), before calls of several seconds with a longer deadline. LOST excuses a cut during a stop only if the request was sent within 3 s of the signal and an upstream was at work on it in the last sixth of the grace period.

LEAVE: answers of an upstream announce that it leaves, it registers as before, as draining or not at all, serves for the drain time and a while, ends when no call runs, and another one comes, at the same or another address, under another id or as a new start under the same one. DRAIN is reported when a request that was sent later than the drain time after a gateway passed such an answer on reaches that upstream through that gateway, unless the gateway was stopped, killed or frozen since.

The test of a cut during a stop now says that its run has ended, since one that still runs may be excused.

--- a/soak/src/main/kotlin/sycamore/soak/Attempt.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Attempt.kt
@@ -26,6 +26,7 @@
  *
  * @property body the complete body of the run's response.
  * @property fault the fault of the upstream during this run; null if there is none.
+ * @property isLeaving whether the response announces that the upstream leaves.
  * @property isConnectionClean whether all earlier exchanges on the connection were without faults.
  */
 internal class Run(
@@ -34,7 +35,12 @@
     val fault: UpstreamFault?,
     val isConnectionClean: Boolean,
     val at: ComparableTimeMark,
+    val isLeaving: Boolean = false,
 ) {
+    /** The time at which the upstream ended its work; null while it is at work. */
+    @Volatile
+    var end: ComparableTimeMark? = null
+
     /** Whether the whole response was written in a way that shows its end. */
     @Volatile
     var isWritten = false
--- a/soak/src/main/kotlin/sycamore/soak/Caller.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Caller.kt
@@ -7,7 +7,6 @@
 import sycamore.platform.SampleDocuments
 import java.io.IOException
 import kotlin.random.Random
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
@@ -18,9 +17,9 @@
     seed: Long,
     private val deployment: Deployment,
     private val observations: Observations,
-    kinds: List<CallKind> = CallKind.entries,
+    private val plan: SoakPlan,
 ) {
-    private val mix = MIX.filter { it in kinds }
+    private val mix = MIX.filter { it in plan.kinds }
     private val random = Random(seed)
     private var gateway: Daemon = deployment.gateways.random(random)
     private var connection: CallerConnection? = null
@@ -51,7 +50,7 @@
         val body = "body of $number.${sent + 1} " + "y".repeat(random.nextInt(MAX_BODY_BYTES))
         repeat(MAX_ATTEMPTS) {
             val attempt = attempt(kind, body)
-            val (response, isServed) = send(attempt, SampleDocuments.callHeaders(attempt.id))
+            val (response, isServed) = send(attempt, SampleDocuments.callHeaders(attempt.id, plan.deadline))
             val status = response?.head?.status ?: 0
             if (isServed) return true
             if (kind != CallKind.REPEATABLE && status !in kind.promises) return false
@@ -86,7 +85,14 @@
         val input = "input ${account.program}.${sent + 1};" + "z".repeat(random.nextInt(MAX_BODY_BYTES))
         repeat(MAX_ATTEMPTS) {
             val attempt = attempt(CallKind.TURN, previous?.chain.orEmpty() + input)
-            val headers = SampleDocuments.turnHeaders(attempt.id, account.program, previous?.id, account.budget)
+            val headers =
+                SampleDocuments.turnHeaders(
+                    attempt.id,
+                    account.program,
+                    previous?.id,
+                    account.budget,
+                    plan.deadline,
+                )
             val (response, isServed) = send(attempt, headers, input)
             val status = response?.head?.status ?: 0
             val data = if (response != null && status in SUCCESSES) dataOf(response.body) else emptyList()
@@ -127,7 +133,13 @@
         if (open.hasUnrequestedBytes) {
             observations.report(Rule.MIXED, attempt.id, "${gateway.name} sent bytes that no request asked for")
         }
-        val result = open.call(attempt.path, listOf("Host" to Deployment.HOST) + headers, body, TIMEOUT)
+        val result =
+            open.call(
+                attempt.path,
+                listOf("Host" to Deployment.HOST) + headers,
+                body,
+                plan.deadline + ANSWER_TIME,
+            )
         val isServed = observations.recordResponse(attempt, result.response, result.isTimeout)
         if (!open.isReusable) disconnect()
         return result.response to isServed
@@ -174,8 +186,8 @@
         val RETRY_DELAY = 100.milliseconds
         val CONNECT_TIMEOUT = 1.seconds
 
-        /** The deadline that [SampleDocuments] gives a call, and some time for its answer. */
-        val TIMEOUT: Duration = 5_500.milliseconds
+        /** The time after the deadline in which the answer may arrive. */
+        val ANSWER_TIME = 500.milliseconds
 
         fun dataOf(stream: ByteArray): List<String> =
             stream
--- a/soak/src/main/kotlin/sycamore/soak/Daemon.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Daemon.kt
@@ -1,5 +1,6 @@
 package sycamore.soak
 
+import sycamore.platform.SampleDocuments
 import java.io.File
 import java.nio.file.Path
 import java.util.concurrent.TimeUnit
@@ -68,7 +69,7 @@
         isStopping = true
         val running = process ?: return
         running.destroy()
-        if (!running.waitFor(GRACE_PERIOD.inWholeMilliseconds, TimeUnit.MILLISECONDS)) kill()
+        if (!running.waitFor(SampleDocuments.gracePeriod.inWholeMilliseconds, TimeUnit.MILLISECONDS)) kill()
     }
 
     /** Sends the signal [name], such as HUP, if the process runs. */
@@ -78,8 +79,6 @@
     }
 
     private companion object {
-        val GRACE_PERIOD: Duration = 8.seconds
-
         /** A signal within this time of the start may end the JVM, which has no handlers yet. */
         val BOOT_TIME: Duration = 1.seconds
         val JAVA = Path.of(System.getProperty("java.home"), "bin", "java").toString()
--- a/soak/src/main/kotlin/sycamore/soak/Deployment.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Deployment.kt
@@ -5,6 +5,8 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
 import org.http4k.core.HttpHandler
 import org.http4k.core.Response
 import org.http4k.core.Status
@@ -67,6 +69,8 @@
     /** The upstreams whose registration is not renewed at present. */
     val lapsed: MutableSet<Upstream> = ConcurrentHashMap.newKeySet()
 
+    private val registrations = Mutex()
+    private val written = HashMap<Upstream, String>()
     private var version = 0
 
     suspend fun start() {
@@ -93,6 +97,8 @@
                 CallKind.ONCE.prefix,
                 PLAIN,
                 extra,
+                callTime = plan.deadline,
+                turnTime = plan.deadline + TURN_RESERVE,
             ),
         )
     }
@@ -122,19 +128,53 @@
     }
 
     private suspend fun renewRegistrations() {
-        val written = HashMap<Upstream, String>()
         while (true) {
-            for (upstream in upstreams - lapsed.toSet()) {
-                val previous = written.put(upstream, upstream.id)
-                if (previous != null && previous != upstream.id) put(StoreKeys.UPSTREAMS + previous, null)
-                val service = if (upstream.isEngine) ENGINES else PLAIN
-                val entry = SampleDocuments.upstreamEntry(service, upstream.address, PLACE, slots = plan.limits.slots)
-                put(StoreKeys.UPSTREAMS + upstream.id, entry, isLeased = true)
-            }
+            for (upstream in upstreams - lapsed.toSet()) register(upstream)
             delay(REGISTRATION_INTERVAL)
         }
     }
 
+    private suspend fun register(upstream: Upstream) =
+        registrations.withLock {
+            val id = upstream.id
+            val previous = written.put(upstream, id)
+            if (previous != null && previous != id) put(StoreKeys.UPSTREAMS + previous, null)
+            val registration = upstream.registration
+            if (registration == Registration.NONE) return@withLock put(StoreKeys.UPSTREAMS + id, null)
+            val service = if (upstream.isEngine) ENGINES else PLAIN
+            val state = registration.name.lowercase()
+            val entry =
+                SampleDocuments.upstreamEntry(
+                    service,
+                    upstream.address,
+                    PLACE,
+                    state,
+                    plan.limits.slots,
+                    upstream.bornMillis,
+                )
+            put(StoreKeys.UPSTREAMS + id, entry, isLeased = true)
+        }
+
+    /** Lets [upstream] leave as [departure] says, and start again. */
+    suspend fun leave(
+        upstream: Upstream,
+        departure: Departure,
+    ) {
+        upstream.isLeaving = true
+        upstream.registration = departure.registration
+        register(upstream)
+        delay(SampleDocuments.drainTime + departure.extra)
+        upstream.registration = Registration.NONE
+        register(upstream)
+        upstream.leave()
+        delay(departure.absence)
+        val address = upstream.address
+        val isMoving = departure.isMoving && !upstream.isEngine
+        val port = if (isMoving) PLAIN_PORT + PLAIN_PORT - address.port + 1 else address.port
+        upstream.startAgain(Address(address.ip, port), departure.hasSameId)
+        register(upstream)
+    }
+
     private fun daemon(
         role: Role,
         number: Int,
@@ -218,6 +258,7 @@
         private const val ENGINE_PORT = 8150
         private const val PLAIN_PORT = 8151
 
+        private val TURN_RESERVE = 3.seconds
         private val REGISTRATION_INTERVAL = 1_000.milliseconds
         private val REGISTRATION_LEASE = 3.seconds
 
--- a/soak/src/main/kotlin/sycamore/soak/FaultInjector.kt
+++ b/soak/src/main/kotlin/sycamore/soak/FaultInjector.kt
@@ -21,6 +21,8 @@
     private val log: FaultLog,
 ) {
     private val random = Random(plan.seed)
+    private val daemons = deployment.daemons.filter { it.role in plan.roles }
+    private val leaving = deployment.upstreams.associateWith { Mutex() }
     private val locks = deployment.daemons.associateWith { Mutex() }
 
     /** Injects faults for the length of the plan, and returns when all have ended. */
@@ -29,8 +31,10 @@
         deployment.upstreams.forEach { it.faults = plan.upstreamFaults }
         coroutineScope {
             while (begin.elapsedNow() < plan.length) {
-                delay(random.nextLong(MAX_GAP_MILLIS).milliseconds)
-                if (plan.outsideFaults.isNotEmpty()) inject(plan.outsideFaults.random(random))
+                delay(random.nextLong(plan.maxGap.inWholeMilliseconds).milliseconds)
+                if (plan.outsideFaults.isEmpty()) continue
+                val fault = plan.outsideFaults.random(random)
+                if (plan.isSequential) coroutineScope { inject(fault) } else inject(fault)
             }
         }
         deployment.upstreams.forEach { it.faults = emptyList() }
@@ -39,8 +43,8 @@
     /** Chooses the details of [fault] at once, so that they depend on the seed only, and lets it run. */
     private fun CoroutineScope.inject(fault: OutsideFault) {
         val length = random.nextLong(MIN_FAULT_MILLIS, MAX_FAULT_MILLIS).milliseconds
-        val series = if (random.nextInt(SERIES_ONE_IN) == 0) 1 + random.nextInt(deployment.daemons.size) else 1
-        val targets = deployment.daemons.shuffled(random).take(series)
+        val series = if (random.nextInt(SERIES_ONE_IN) == 0) 1 + random.nextInt(daemons.size) else 1
+        val targets = daemons.shuffled(random).take(series)
         when (fault) {
             OutsideFault.TERMINATE -> targets.forEach { stopAndStart(fault, it, length, it::terminate) }
             OutsideFault.KILL -> targets.forEach { stopAndStart(fault, it, length, it::kill) }
@@ -49,6 +53,7 @@
             OutsideFault.CONFIGURE -> configure(random.nextBoolean())
             OutsideFault.STORE -> disturbStore(storeFaults.random(random), targets, length)
             OutsideFault.UPSTREAMS -> changeUpstreams(length)
+            OutsideFault.LEAVE -> leave(length)
         }
     }
 
@@ -105,6 +110,33 @@
         }
     }
 
+    /** Lets upstreams leave and replaces them. An upstream that is leaving is passed over. */
+    private fun CoroutineScope.leave(length: Duration) {
+        val plain = deployment.upstreams.filter { !it.isEngine }.shuffled(random)
+        val engines = deployment.upstreams.filter { it.isEngine }.shuffled(random)
+        val count = if (random.nextInt(SERIES_ONE_IN) == 0) plan.plainUpstreams / 2 else 1
+        val targets = plain.take(count) + engines.take(minOf(count, engines.size / 2))
+        for (target in targets) {
+            val departure =
+                Departure(
+                    registration = listOf(Registration.READY, Registration.DRAINING, Registration.NONE).random(random),
+                    extra = length,
+                    absence = random.nextLong(MAX_FAULT_MILLIS).milliseconds,
+                    isMoving = random.nextBoolean(),
+                    hasSameId = random.nextInt(SAME_ID_ONE_IN) == 0,
+                )
+            launch {
+                val lock = leaving.getValue(target)
+                if (!lock.tryLock()) return@launch
+                try {
+                    log.record(OutsideFault.LEAVE, target = null) { deployment.leave(target, departure) }
+                } finally {
+                    lock.unlock()
+                }
+            }
+        }
+    }
+
     /** Restarts an upstream under another id, lets registrations lapse, or writes entries that name no upstream. */
     private fun CoroutineScope.changeUpstreams(length: Duration) {
         val targets = deployment.upstreams.shuffled(random).take(1 + random.nextInt(2))
@@ -137,13 +169,13 @@
     }
 
     private companion object {
-        const val MAX_GAP_MILLIS = 1_500L
         const val MIN_FAULT_MILLIS = 200L
         const val MAX_FAULT_MILLIS = 4_000L
 
         /** One fault of this many affects several daemons. */
         const val SERIES_ONE_IN = 4
         const val UPSTREAM_CHANGES = 3
+        const val SAME_ID_ONE_IN = 4
         const val ODD_ENTRIES = 3
         val LAPSE_TIME = 3.seconds
 
--- a/soak/src/main/kotlin/sycamore/soak/FaultLog.kt
+++ b/soak/src/main/kotlin/sycamore/soak/FaultLog.kt
@@ -1,5 +1,6 @@
 package sycamore.soak
 
+import sycamore.platform.SampleDocuments
 import java.util.concurrent.ConcurrentLinkedQueue
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
@@ -9,6 +10,7 @@
 /** The kinds of faults from outside a daemon. Those that are planned must not cut off any request. */
 internal enum class OutsideFault(
     val isPlanned: Boolean,
+    val mayCut: Boolean = !isPlanned,
 ) {
     TERMINATE(true),
     RELOAD(true),
@@ -17,6 +19,9 @@
     FREEZE(false),
     STORE(false),
     UPSTREAMS(false),
+
+    /** An upstream leaves after it has announced it. It completes all calls. */
+    LEAVE(false, mayCut = false),
 }
 
 /** Records which faults were in effect when. Safe for use by several threads. */
@@ -51,11 +56,33 @@
     }
 
     /** Whether an unplanned fault may have cut off [attempt]. */
-    fun wasDisrupted(attempt: Attempt): Boolean = inEffect(attempt).any { !it.fault.isPlanned }
+    fun wasDisrupted(attempt: Attempt): Boolean = inEffect(attempt).any { it.fault.mayCut }
 
     /** Whether the gateway of [attempt] was stopped, reloaded or configured during it. */
     fun wasPlanned(attempt: Attempt): Boolean = inEffect(attempt).any { it.fault.isPlanned }
 
+    /**
+     * Whether [attempt] was cut by the end of a stop although it was sent early: an upstream still ran it in the last
+     * sixth of the grace period.
+     */
+    fun outlastedStop(attempt: Attempt): Boolean =
+        inEffect(attempt).any { entry ->
+            val lastSixth = entry.from + SampleDocuments.gracePeriod * FIVE_SIXTHS
+            entry.fault == OutsideFault.TERMINATE &&
+                attempt.at <= entry.from + EARLY_TIME &&
+                attempt.runs.any { run -> run.end.let { it == null || it > lastSixth } }
+        }
+
+    /** Whether [daemon] was stopped, killed or frozen after [since]. */
+    fun wasInterrupted(
+        daemon: Daemon,
+        since: ComparableTimeMark,
+    ): Boolean =
+        entries.any { entry ->
+            val until = entry.until
+            entry.fault in INTERRUPTIONS && entry.target === daemon && (until == null || until > since)
+        }
+
     private fun inEffect(attempt: Attempt) =
         entries.filter { entry ->
             val until = entry.until
@@ -73,5 +100,10 @@
     private companion object {
         /** The time after a fault during which its effects do not count. */
         val SETTLING_TIME: Duration = 4.seconds
+
+        /** Requests sent this long after the signal to stop may still be cut if they take long. */
+        val EARLY_TIME: Duration = 3.seconds
+        const val FIVE_SIXTHS = 5.0 / 6
+        val INTERRUPTIONS = setOf(OutsideFault.TERMINATE, OutsideFault.KILL, OutsideFault.FREEZE)
     }
 }
--- a/soak/src/main/kotlin/sycamore/soak/FaultSoak.kt
+++ b/soak/src/main/kotlin/sycamore/soak/FaultSoak.kt
@@ -48,7 +48,7 @@
             deployment.start()
             awaitService(deployment, "at the start", firstProbe = FIRST_PROBE)
             val callers =
-                List(plan.callers) { Caller(it, plan.seed * SEED_FACTOR + it, deployment, observations, plan.kinds) }
+                List(plan.callers) { Caller(it, plan.seed * SEED_FACTOR + it, deployment, observations, plan) }
             val jobs = callers.map { scope.launch { it.run() } }
             FaultInjector(plan, deployment, faults).run()
             val turns = callers.mapNotNull { it.lastTurn }.filter { it.account.budget >= PROBE_BUDGET }
@@ -81,7 +81,7 @@
         deployment.gateways
             .mapIndexed { index, gateway ->
                 async(Dispatchers.IO) {
-                    val caller = Caller(firstProbe + index, plan.seed + index, deployment, observations)
+                    val caller = Caller(firstProbe + index, plan.seed + index, deployment, observations, plan)
                     for (kind in plan.kinds) {
                         val isServed =
                             awaitTrue {
--- a/soak/src/main/kotlin/sycamore/soak/Main.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Main.kt
@@ -33,6 +33,14 @@
     val idle by parser.option(ArgType.Int, "idle-millis", description = "Idle time of connections at upstreams")
     val work by parser.option(ArgType.Int, "work-millis", description = "The longest time that a call runs")
     val faulty by parser.option(ArgType.Double, "faulty-share", description = "Share of faulty exchanges")
+    val deadline by parser
+        .option(ArgType.Int, "deadline-millis", description = "Time that callers wait")
+        .default(DEFAULT_DEADLINE_MILLIS)
+    val roles by parser.option(ArgType.String, "roles", description = "Daemons with faults, or all").default("all")
+    val sequential by parser
+        .option(ArgType.Boolean, "sequential", description = "Each fault ends before the next one begins")
+        .default(false)
+    val gap by parser.option(ArgType.Int, "gap-millis", description = "The longest time between faults")
     parser.parse(args)
     val defaults = UpstreamLimits()
     val limits =
@@ -59,6 +67,10 @@
                 upstreams ?: hosts,
                 callers,
                 limits,
+                deadline.milliseconds,
+                select(roles, Role.entries),
+                sequential,
+                gap?.milliseconds ?: DEFAULT_GAP,
             )
         }
     val results = plans.map { plan -> runBlocking { FaultSoak(plan).run() }.also(::show) }
@@ -93,6 +105,8 @@
 ): Nothing = Program.fail(Program.EXIT_MISUSE, "expected names out of $all, found '$name'")
 
 private const val DEFAULT_SECONDS = 20
+private const val DEFAULT_DEADLINE_MILLIS = 5_000
+private val DEFAULT_GAP = 1_500.milliseconds
 private const val DEFAULT_HOSTS = 3
 private const val CALLERS = SoakPlan.CALLERS_PER_HOST
 private const val MAX_SHOWN = 10
--- a/soak/src/main/kotlin/sycamore/soak/Observations.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Observations.kt
@@ -4,16 +4,23 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
 import kotlin.time.TimeSource
 
 /** What callers and upstreams saw, and the violations found in it. Safe for use by several threads. */
 internal class Observations(
     private val faults: FaultLog,
+    private val time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
 ) {
     private val attempts = ConcurrentHashMap<String, Attempt>()
     private val found = ConcurrentLinkedQueue<Violation>()
+    private val ended: MutableSet<String> = ConcurrentHashMap.newKeySet()
     private val unplannedCuts = AtomicInteger()
-    private val start = TimeSource.Monotonic.markNow()
+
+    /** When a gateway first passed on an answer with which an upstream announced that it leaves. */
+    private val announcements = ConcurrentHashMap<Pair<Daemon, String>, ComparableTimeMark>()
+    private val start = time.markNow()
 
     val violations: List<Violation> get() = found.toList()
 
@@ -29,6 +36,11 @@
         found += Violation(rule, subject, start.elapsedNow().inWholeMilliseconds, detail)
     }
 
+    /** Records that [upstream] ends all its connections. */
+    fun recordEnd(upstream: String) {
+        ended += upstream
+    }
+
     fun begin(attempt: Attempt) {
         attempts[attempt.id] = attempt
     }
@@ -44,6 +56,7 @@
     ) {
         val attempt = attempts[id] ?: return
         val millis = start.elapsedNow().inWholeMilliseconds
+        if (outcome != MISDIRECTED) checkDrained(attempt, upstream)
         val isResent = attempt.receipts.any { it.address == address }
         attempt.receipts += Receipt(upstream, address, connection, request, millis, outcome)
         // An engine that refused a turn may get it again from another home.
@@ -52,6 +65,17 @@
         }
     }
 
+    /** Checks that the gateway of [attempt] has not passed on too long ago that [upstream] leaves. */
+    private fun checkDrained(
+        attempt: Attempt,
+        upstream: String,
+    ) {
+        val announced = announcements[attempt.gateway to upstream] ?: return
+        val late = attempt.at - announced - SampleDocuments.drainTime
+        if (late <= Duration.ZERO || faults.wasInterrupted(attempt.gateway, announced)) return
+        report(Rule.DRAIN, attempt.id, "${describe(attempt)} reached $upstream and was sent $late after its drain time")
+    }
+
     /** What upstreams saw of the attempt with [id]. */
     fun receipts(id: String): List<Receipt> = attempts[id]?.receipts.orEmpty()
 
@@ -91,6 +115,9 @@
             if (!isTimeout) checkCut(attempt)
             if (response == null) return false
         }
+        attempt.runs.filter { it.isLeaving }.forEach {
+            announcements.putIfAbsent(attempt.gateway to it.upstream, time.markNow())
+        }
         val id = SampleDocuments.requestId(response.head.headers)
         if (id != null && id != attempt.id) {
             report(Rule.MIXED, attempt.id, "${describe(attempt)}: the response belongs to $id")
@@ -141,6 +168,7 @@
         if (faults.wasDisrupted(attempt)) return
         val detail = "${describe(attempt)}: the connection ended without a complete response"
         when {
+            faults.outlastedStop(attempt) || runs.any { it.upstream in ended } -> return
             faults.wasPlanned(attempt) -> report(Rule.LOST, attempt.id, "$detail, during planned work")
             unplannedCuts.incrementAndGet() > MAX_CUTS -> report(Rule.LOST, attempt.id, detail)
         }
@@ -156,6 +184,7 @@
 
         /** Statuses that end a proper request for good although every configuration allows it. */
         val DENIALS = setOf(400, 401, 403, 413, 431)
+        const val MISDIRECTED = "421"
         const val SHOWN = 60
 
         /** The number of connections that may end without a response while nothing is disrupted. */
--- a/soak/src/main/kotlin/sycamore/soak/SoakPlan.kt
+++ b/soak/src/main/kotlin/sycamore/soak/SoakPlan.kt
@@ -2,6 +2,8 @@
 
 import java.io.File
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * The size and the seed of one run.
@@ -13,6 +15,10 @@
  * @property plainUpstreams the number of plain upstreams.
  * @property callersPerHost the number of callers for each gateway.
  * @property kinds the kinds of calls that are sent.
+ * @property deadline the time that callers wait for an answer.
+ * @property roles the daemons that faults affect.
+ * @property isSequential whether each fault ends before the next one begins.
+ * @property maxGap the longest time between the beginnings of two faults.
  * @property limits what each upstream takes.
  * @property classPath the class path with the daemons to test.
  * @property folder the folder for settings, data, logs and violations.
@@ -24,12 +30,16 @@
     val classPath: String,
     val folder: File,
     val upstreamFaults: List<UpstreamFault> = UpstreamFault.entries,
-    val outsideFaults: List<OutsideFault> = OutsideFault.entries,
+    val outsideFaults: List<OutsideFault> = OutsideFault.entries - OutsideFault.LEAVE,
     val kinds: List<CallKind> = CallKind.entries,
     val homes: Int = if (CallKind.TURN in kinds) hosts else 0,
     val plainUpstreams: Int = hosts,
     val callersPerHost: Int = CALLERS_PER_HOST,
     val limits: UpstreamLimits = UpstreamLimits(),
+    val deadline: Duration = 5.seconds,
+    val roles: List<Role> = Role.entries,
+    val isSequential: Boolean = false,
+    val maxGap: Duration = 1_500.milliseconds,
 ) {
     val retainers: Int get() = if (homes == 0) 0 else maxOf(MIN_RETAINERS, homes / HOSTS_PER_RETAINER)
 
--- a/soak/src/main/kotlin/sycamore/soak/Upstream.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Upstream.kt
@@ -1,7 +1,9 @@
 package sycamore.soak
 
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.model.Address
 import sycamore.platform.Header
 import sycamore.platform.SampleDocuments
@@ -14,17 +16,19 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
 /**
  * An upstream on bare sockets that injects faults into its answers.
  *
- * @property address the address at which it accepts connections.
+ * @param address the address at which it accepts connections.
  * @param seed determines which exchanges are faulty, in their order, and what its answers contain.
  */
 internal class Upstream(
     private val name: String,
-    val address: Address,
+    address: Address,
     val isEngine: Boolean,
     private val limits: UpstreamLimits,
     seed: Long,
@@ -33,7 +37,27 @@
     private val scope: CoroutineScope,
 ) {
     private val random = Random(seed)
-    private val listener = ServerSocket(address.port, BACKLOG, InetAddress.getByName(address.ip))
+
+    @Volatile
+    private var listener = listen(address)
+
+    /** The address at which it accepts connections. */
+    @Volatile
+    var address: Address = address
+        private set
+
+    /** What the store says of this upstream. */
+    @Volatile
+    var registration = Registration.READY
+
+    /** Whether answers announce that this upstream leaves. */
+    @Volatile
+    var isLeaving = false
+
+    /** The time of the last start under the present id, as this upstream states it. */
+    @Volatile
+    var bornMillis = 1L
+        private set
     private val sockets: MutableSet<Socket> = ConcurrentHashMap.newKeySet()
     private val busy = AtomicInteger()
     private val restarts = AtomicInteger()
@@ -43,14 +67,18 @@
     @Volatile
     var faults: List<UpstreamFault> = emptyList()
 
+    /** What tells this start of the upstream from others under the same id. */
+    val start: String get() = "$id/$bornMillis"
+
     /** The id under which this upstream is registered. It changes at a restart. */
     val id: String get() = "$name-${restarts.get()}"
 
     /** Serves connections until the scope is cancelled. */
     fun start() {
+        val listener = listener
         scope.launch {
             while (!listener.isClosed) {
-                val socket = accept() ?: break
+                val socket = accept(listener) ?: break
                 if (sockets.size >= limits.connections) {
                     counts.connectionsReset.incrementAndGet()
                     reset(socket)
@@ -63,7 +91,7 @@
     }
 
     /** Accepts the next connection; null after [close]. */
-    private fun accept(): Socket? =
+    private fun accept(listener: ServerSocket): Socket? =
         try {
             listener.accept()
         } catch (e: SocketException) {
@@ -83,6 +111,30 @@
         sockets.forEach(Socket::close)
     }
 
+    /** Accepts no more connections, and closes those that are open when no call runs. */
+    suspend fun leave() {
+        listener.close()
+        withTimeoutOrNull(limits.work + LEAVING_TIME) { while (busy.get() > 0) delay(POLL_INTERVAL) }
+        observations.recordEnd(start)
+        sockets.forEach(Socket::close)
+        sockets.clear()
+    }
+
+    /** Starts at [address] as another upstream, or as a new start under the same id if [hasSameId]. */
+    fun startAgain(
+        address: Address,
+        hasSameId: Boolean,
+    ) {
+        this.address = address
+        if (hasSameId) bornMillis++ else restarts.incrementAndGet()
+        isLeaving = false
+        registration = Registration.READY
+        listener = listen(address)
+        start()
+    }
+
+    private fun listen(address: Address) = ServerSocket(address.port, BACKLOG, InetAddress.getByName(address.ip))
+
     private fun reset(socket: Socket) {
         socket.setSoLinger(true, 0)
         socket.close()
@@ -148,13 +200,15 @@
             if (fault?.isRefusal == true) return refuseWith(fault, head)
             if (busy.get() >= limits.slots) return refuse(head, UNAVAILABLE)
             val answer = nextBody(request)
-            val run = Run(id, answer, fault, isClean, TimeSource.Monotonic.markNow())
+            val run = Run(start, answer, fault, isClean, TimeSource.Monotonic.markNow(), isLeaving)
+            if (run.isLeaving) counts.leavingAnnounced.incrementAndGet()
             busy.incrementAndGet()
             recordReceipt(request, "run")
             try {
                 observations.recordRun(request, head.startLine.split(' ')[1], body.decodeToString(), run)
                 return answer(head, run)
             } finally {
+                run.end = TimeSource.Monotonic.markNow()
                 busy.decrementAndGet()
                 if (fault != null) isClean = false
             }
@@ -188,21 +242,27 @@
         ): ByteArray {
             counts.refused.incrementAndGet()
             SampleDocuments.requestId(head.headers)?.let { recordReceipt(it, "$status") }
-            val headers = SampleDocuments.answerHeaders(head.headers) + SampleDocuments.notRunHeader
+            val headers = headersOf(head, isLeaving) + SampleDocuments.notRunHeader
             return HttpWire.encode("HTTP/1.1 $status Refused", headers + ("Content-Length" to "0"), ByteArray(0))
         }
 
+        private fun headersOf(
+            head: MessageHead,
+            isLeaving: Boolean,
+        ) = SampleDocuments.answerHeaders(head.headers) +
+            listOfNotNull(SampleDocuments.leavingHeader.takeIf { isLeaving })
+
         private fun recordReceipt(
             request: String,
             outcome: String,
-        ) = observations.recordReceipt(request, id, "$address", connection, requests, outcome)
+        ) = observations.recordReceipt(request, start, "$address", connection, requests, outcome)
 
         private fun answer(
             head: MessageHead,
             run: Run,
         ): Boolean {
             val type = "Content-Type" to if (isEngine) "text/event-stream" else "text/plain"
-            val headers = SampleDocuments.answerHeaders(head.headers) + type
+            val headers = headersOf(head, run.isLeaving) + type
             when (run.fault) {
                 UpstreamFault.UNFRAMED, UpstreamFault.UNFRAMED_RESET, UpstreamFault.BODY_CUT -> unframed(headers, run)
                 UpstreamFault.HEAD_CUT, UpstreamFault.HEAD_RESET -> cutHead(headers, run)
@@ -227,13 +287,14 @@
                     .split("\n\n")
                     .filter { it.isNotEmpty() }) {
                     pause()
+                    work(MAX_EVENTS)
                     val chunk = "$event\n\n"
                     output.write("${chunk.length.toString(HEXADECIMAL)}\r\n$chunk\r\n".encodeToByteArray())
                 }
                 run.isWritten = true
                 output.write("0\r\n\r\n".encodeToByteArray())
             } else {
-                work()
+                work(parts = 1)
                 run.isWritten = true
                 output.write(framed(headers, run))
             }
@@ -287,13 +348,19 @@
             reset(socket)
         }
 
-        private fun work() = Thread.sleep(synchronized(random) { random.nextLong(limits.work.inWholeMilliseconds) })
+        /** Works for one of [parts] of a call. */
+        private fun work(parts: Int) =
+            Thread.sleep(synchronized(random) { random.nextLong(1 + limits.work.inWholeMilliseconds / parts) })
 
         private fun pause() = Thread.sleep(synchronized(random) { random.nextLong(MAX_PAUSE_MILLIS) })
     }
 
     companion object {
         private const val BACKLOG = 256
+        private val POLL_INTERVAL = 5.milliseconds
+
+        /** The time for calls that are late because the machine is busy. */
+        private val LEAVING_TIME = 2.seconds
         private const val HEXADECIMAL = 16
         const val MAX_EVENTS = 12
         private const val SMALL_BYTES = 4_000
--- a/soak/src/main/kotlin/sycamore/soak/UpstreamCounts.kt
+++ b/soak/src/main/kotlin/sycamore/soak/UpstreamCounts.kt
@@ -9,7 +9,9 @@
     val repeatedRefusals = AtomicInteger()
     val connectionsReset = AtomicInteger()
     val idleClosed = AtomicInteger()
+    val leavingAnnounced = AtomicInteger()
 
     override fun toString(): String =
-        "{received=$received, refused=$refused, repeated=$repeatedRefusals, reset=$connectionsReset, idle=$idleClosed}"
+        "{received=$received, refused=$refused, repeated=$repeatedRefusals, reset=$connectionsReset, " +
+            "idle=$idleClosed, announced=$leavingAnnounced}"
 }
--- a/soak/src/main/kotlin/sycamore/soak/Violation.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Violation.kt
@@ -1,7 +1,7 @@
 package sycamore.soak
 
 /** The promises that the soak checks. */
-internal enum class Rule { TWICE, RESENT, REFUSED, MIXED, ORDER, UNASKED, LOST, DENIED, BUDGET, RECOVER, EXIT }
+internal enum class Rule { TWICE, RESENT, REFUSED, MIXED, ORDER, UNASKED, LOST, DRAIN, DENIED, BUDGET, RECOVER, EXIT }
 
 /**
  * A broken promise.
--- a/soak/src/test/kotlin/sycamore/soak/FaultSoakTest.kt
+++ b/soak/src/test/kotlin/sycamore/soak/FaultSoakTest.kt
@@ -1,6 +1,7 @@
 package sycamore.soak
 
 import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.condition.EnabledIfSystemProperty
 import java.io.File
 import java.nio.file.Files
 import kotlin.test.Test
@@ -40,6 +41,56 @@
         assertTrue(counts.repeatedRefusals.get() > 0, "found $counts")
     }
 
+    @Test
+    @EnabledIfSystemProperty(named = PLANNED_WORK, matches = "true")
+    fun `requests that a gateway has accepted are answered while it stops`() {
+        run { folder -> stop(Role.GATEWAY, folder) }
+    }
+
+    @Test
+    @EnabledIfSystemProperty(named = PLANNED_WORK, matches = "true")
+    fun `requests are answered while a home stops`() {
+        run { folder -> stop(Role.HOME, folder) }
+    }
+
+    @Test
+    @EnabledIfSystemProperty(named = PLANNED_WORK, matches = "true")
+    fun `no request reaches an upstream that has announced that it leaves`() {
+        val counts =
+            run { folder ->
+                SoakPlan(
+                    SEED,
+                    LENGTH,
+                    hosts = 2,
+                    CLASS_PATH,
+                    folder,
+                    upstreamFaults = emptyList(),
+                    outsideFaults = listOf(OutsideFault.LEAVE),
+                    plainUpstreams = 4,
+                )
+            }.upstreams
+        assertTrue(counts.leavingAnnounced.get() > 0, "found $counts")
+    }
+
+    /** Stops one daemon with [role] after the other, while calls take up to several seconds. */
+    private fun stop(
+        role: Role,
+        folder: File,
+    ) = SoakPlan(
+        SEED,
+        LENGTH,
+        hosts = 2,
+        CLASS_PATH,
+        folder,
+        upstreamFaults = emptyList(),
+        outsideFaults = listOf(OutsideFault.TERMINATE),
+        callersPerHost = 20,
+        limits = UpstreamLimits(slots = 40, work = 5.seconds),
+        deadline = 12.seconds,
+        roles = listOf(role),
+        isSequential = true,
+    )
+
     private fun run(plan: (folder: File) -> SoakPlan): SoakResult {
         val folder = Files.createTempDirectory("fault-soak").toFile()
         val result = runBlocking { FaultSoak(plan(folder)).run() }
@@ -51,6 +102,8 @@
     }
 
     private companion object {
+        /** The property that selects the tests of planned stops and leaving upstreams. */
+        const val PLANNED_WORK = "soak.planned"
         const val SEED = 7L
         const val OK = 200
         val LENGTH = 15.seconds
--- a/soak/src/test/kotlin/sycamore/soak/ObservationsTest.kt
+++ b/soak/src/test/kotlin/sycamore/soak/ObservationsTest.kt
@@ -7,28 +7,44 @@
 import java.nio.file.Path
 import kotlin.test.Test
 import kotlin.test.assertEquals
-import kotlin.time.TimeSource
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
 
 /** Guards against checks that pass because they detect nothing. */
 class ObservationsTest {
-    private val faults = FaultLog()
-    private val observations = Observations(faults)
+    private val time = TestTimeSource()
+    private val faults = FaultLog(time)
+    private val observations = Observations(faults, time)
     private val gateway = Daemon("g", Role.GATEWAY, "127.0.0.1", Path.of("g.toml"), File("g.log"), "") { _, _ -> }
 
-    private fun attempt(kind: CallKind) = Attempt("a1", kind, gateway, "/x", "prompt", now()).also(observations::begin)
+    private fun attempt(
+        kind: CallKind,
+        id: String = "a1",
+    ) = Attempt(id, kind, gateway, "/x", "prompt", now()).also(observations::begin)
 
-    private fun now() = TimeSource.Monotonic.markNow()
+    private fun now() = time.markNow()
 
     private fun run(
         id: String = "a1",
         prompt: String = "prompt",
+        isLeaving: Boolean = false,
     ) = observations.recordRun(
         id,
         "/x",
         prompt,
-        Run("u", BODY.encodeToByteArray(), null, isConnectionClean = true, now()).apply { isWritten = true },
+        ranIn(work = Duration.ZERO, isLeaving),
     )
 
+    private fun ranIn(
+        work: Duration?,
+        isLeaving: Boolean = false,
+    ) = Run("u", BODY.encodeToByteArray(), null, isConnectionClean = true, now(), isLeaving).apply {
+        isWritten = true
+        end = work?.let { at + it }
+    }
+
     private fun response(
         status: Int,
         body: String = "",
@@ -98,6 +114,71 @@
         assertEquals(listOf(Rule.LOST), rules())
     }
 
+    /** Cuts a request that is sent [sentAfter] the signal to stop and that its upstream runs for [work]. */
+    private fun cutByStop(
+        sentAfter: Duration,
+        work: Duration?,
+    ): List<Rule> {
+        runBlocking { faults.record(OutsideFault.TERMINATE, gateway) {} }
+        time += sentAfter
+        val attempt = attempt(CallKind.ONCE)
+        observations.recordRun("a1", "/x", "prompt", ranIn(work))
+        observations.recordResponse(attempt, response = null, isTimeout = false)
+        return rules()
+    }
+
+    @Test
+    fun `a request that its upstream still runs at the end of a stop may be cut`() =
+        assertEquals(emptyList(), cutByStop(3.seconds, work = null))
+
+    @Test
+    fun `a request that was sent late in a stop must not be cut`() =
+        assertEquals(listOf(Rule.LOST), cutByStop(3_001.milliseconds, work = null))
+
+    @Test
+    fun `a request whose upstream ended in time must not be cut by a stop`() =
+        assertEquals(listOf(Rule.LOST), cutByStop(3.seconds, work = 3.seconds))
+
+    /** Sends a request [after] the answer in which its upstream announced that it leaves. */
+    private fun sendAfterAnnouncement(
+        after: Duration,
+        outcome: String = "run",
+    ): List<Rule> {
+        val announced = attempt(CallKind.ONCE)
+        run(isLeaving = true)
+        observations.recordResponse(announced, response(200, BODY), isTimeout = false)
+        time += after
+        attempt(CallKind.ONCE, "a2")
+        observations.recordReceipt("a2", "u", "1:1", connection = 1, request = 2, outcome)
+        return rules()
+    }
+
+    @Test
+    fun `a request that reaches a leaving upstream within the drain time is valid`() =
+        assertEquals(emptyList(), sendAfterAnnouncement(SampleDocuments.drainTime))
+
+    @Test
+    fun `a request that reaches a leaving upstream after the drain time is detected, also if it is refused`() =
+        assertEquals(listOf(Rule.DRAIN), sendAfterAnnouncement(SampleDocuments.drainTime + 1.milliseconds, "503"))
+
+    @Test
+    fun `a misdirected request does not reach a leaving upstream`() =
+        assertEquals(emptyList(), sendAfterAnnouncement(SampleDocuments.drainTime + 1.milliseconds, "421"))
+
+    @Test
+    fun `a gateway that was stopped need not know that an upstream leaves`() {
+        time += 1.seconds
+        val announced = attempt(CallKind.ONCE)
+        run(isLeaving = true)
+        observations.recordResponse(announced, response(200, BODY), isTimeout = false)
+        time += 1.seconds
+        runBlocking { faults.record(OutsideFault.FREEZE, gateway) { time += 1.seconds } }
+        time += SampleDocuments.drainTime
+        attempt(CallKind.ONCE, "a2")
+        observations.recordReceipt("a2", "u", "1:1", connection = 1, request = 2, "run")
+        assertEquals(emptyList(), rules())
+    }
+
     @Test
     fun `a program that receives more than its budget and one turn is detected`() {
         val account = TokenAccount("p", budget = 100)
