Homes: refuse the turns that wait for an engine as soon as it announces that it leaves

A turn in the queue of a gate was sent to its engine when a slot became free, even if the engine had announced in the meantime that it is leaving: the check was made only when the turn arrived. So a request could reach an engine seconds after that engine had said that it leaves, although another one could have run it.

The gate now refuses all waiting turns of such an engine at once with TARGET_LEAVES, so the gateway sends them elsewhere, and a turn that gets a slot is checked once more before it is sent.

Evidence: the test failed before: expected: <[TARGET_LEAVES, TARGET_LEAVES, TARGET_LEAVES]> but was: <[whole, whole, whole]>.

--- a/homes/src/main/kotlin/sycamore/homes/EngineGate.kt
+++ b/homes/src/main/kotlin/sycamore/homes/EngineGate.kt
@@ -6,6 +6,7 @@
 import sycamore.decisions.turns.TurnQueue
 import sycamore.decisions.turns.UnservableTurn
 import sycamore.decisions.turns.WaitingTurn
+import sycamore.routing.ListedUpstream
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
 import kotlin.time.Duration
@@ -19,6 +20,7 @@
  * @property isContinuation whether the turn continues a previous turn of its program.
  * @property slots the number of turns that the engine processes at once.
  * @property finishIn the time until the program should be finished; null if the caller named none.
+ * @property engine the engine as it is registered; null if the turn may be sent to whichever engine the gate has.
  */
 internal data class GateTurn(
     val priority: Int,
@@ -26,6 +28,7 @@
     val isContinuation: Boolean,
     val slots: Int,
     val finishIn: Duration? = null,
+    val engine: ListedUpstream? = null,
 )
 
 /** The decision of a gate on a turn. */
@@ -40,20 +43,30 @@
         val detail: String,
         val retryAfter: Duration,
     ) : SlotDecision
+
+    /** The engine is leaving, so the turn should be sent to another one. */
+    data object EngineLeaves : SlotDecision
 }
 
 /** The queue in front of one engine. Turns wait in it until the engine has a free slot. */
 internal class EngineGate(
     time: TimeSource,
 ) {
+    private sealed interface Verdict {
+        data object Granted : Verdict
+
+        data object EngineLeaves : Verdict
+
+        class Unservable(
+            val turn: UnservableTurn,
+        ) : Verdict
+    }
+
     private class Waiter(
         val turn: WaitingTurn,
+        val engine: ListedUpstream?,
     ) {
-        /**
-         * Completes with null when the turn may be sent to the engine, or with a value when the engine cannot run it in
-         * time.
-         */
-        val decision = CompletableDeferred<UnservableTurn?>()
+        val verdict = CompletableDeferred<Verdict>()
     }
 
     private val start = time.markNow()
@@ -89,7 +102,7 @@
         val waiter = enqueue(turn)
         var isGranted = false
         try {
-            withTimeoutOrNull(turn.timeLeft) { waiter.decision.await() }
+            withTimeoutOrNull(turn.timeLeft) { waiter.verdict.await() }
             isGranted = dequeue(waiter)
         } finally {
             if (!isGranted && dequeue(waiter)) release()
@@ -102,15 +115,28 @@
         }
     }
 
+    /** Refuses the waiting turns whose engine [isLeaving]. */
+    fun refuseWaiting(isLeaving: (ListedUpstream) -> Boolean) =
+        lock.withLock {
+            val refused = waiters.values.filter { it.engine?.let(isLeaving) == true }
+            refused.forEach { decide(it.turn, Verdict.EngineLeaves) }
+        }
+
     private fun refusalOf(
         waiter: Waiter,
         turn: GateTurn,
-    ): SlotDecision {
-        val unservable = if (waiter.decision.isCompleted) waiter.decision.getCompleted() else null
-        if (unservable == null) return SlotDecision.Refused("no slot became free within ${turn.timeLeft}", turnTime)
-        val detail = "a slot is expected in ${unservable.expectedWait}, and the caller waits for ${turn.timeLeft}"
-        return SlotDecision.Refused(detail, unservable.retryAfter)
-    }
+    ): SlotDecision =
+        when (val verdict = waiter.verdictOrNull()) {
+            is Verdict.EngineLeaves -> SlotDecision.EngineLeaves
+            is Verdict.Unservable -> {
+                val wait = verdict.turn.expectedWait
+                val detail = "a slot is expected in $wait, and the caller waits for ${turn.timeLeft}"
+                SlotDecision.Refused(detail, verdict.turn.retryAfter)
+            }
+            else -> SlotDecision.Refused("no slot became free within ${turn.timeLeft}", turnTime)
+        }
+
+    private fun Waiter.verdictOrNull(): Verdict? = if (verdict.isCompleted) verdict.getCompleted() else null
 
     private fun enqueue(turn: GateTurn): Waiter =
         lock.withLock {
@@ -125,7 +151,7 @@
                     isContinuation = turn.isContinuation,
                     finish = turn.finishIn?.let { now + it },
                 )
-            Waiter(waiting).also {
+            Waiter(waiting, turn.engine).also {
                 waiters[number] = it
                 dispatch()
             }
@@ -135,7 +161,7 @@
     private fun dequeue(waiter: Waiter): Boolean =
         lock.withLock {
             waiters.remove(waiter.turn.number)
-            waiter.decision.isCompleted && waiter.decision.getCompleted() == null
+            waiter.verdictOrNull() == Verdict.Granted
         }
 
     private fun release() =
@@ -147,15 +173,20 @@
     private fun dispatch() {
         while (running < slots) {
             val next = TurnQueue.next(queuedTurns(), now, EnginePace(turnTime, slots)) ?: return
-            val waiter = waiters.remove(next.number) ?: return
+            if (!decide(next, Verdict.Granted)) return
             running++
-            waiter.decision.complete(null)
         }
         for (unservable in TurnQueue.unservable(queuedTurns(), now, EnginePace(turnTime, slots))) {
-            waiters.remove(unservable.turn.number)?.decision?.complete(unservable)
+            decide(unservable.turn, Verdict.Unservable(unservable))
         }
     }
 
+    /** Removes [turn] from the queue with [verdict]. Returns false if it is not in the queue. */
+    private fun decide(
+        turn: WaitingTurn,
+        verdict: Verdict,
+    ): Boolean = waiters.remove(turn.number)?.verdict?.complete(verdict) == true
+
     private fun queuedTurns(): List<WaitingTurn> = waiters.values.map { it.turn }
 
     private fun updateTurnTime(duration: Duration) {
--- a/homes/src/main/kotlin/sycamore/homes/PromptSender.kt
+++ b/homes/src/main/kotlin/sycamore/homes/PromptSender.kt
@@ -73,13 +73,26 @@
     ): Flow<Message> =
         flow {
             val arrived = time.markNow()
-            val turn = GateTurn(call.priority, call.timeLeft, call.previous != null, call.engineSlots, call.finishIn)
+            val turn =
+                GateTurn(
+                    call.priority,
+                    call.timeLeft,
+                    call.previous != null,
+                    call.engineSlots,
+                    call.finishIn,
+                    call.target,
+                )
             when (val decision = gate.awaitSlot(turn)) {
                 is SlotDecision.Refused -> emit(TurnRefused(TurnRefusal.NOT_NOW, decision.detail, decision.retryAfter))
+                SlotDecision.EngineLeaves -> emit(leavingRefusal(call))
                 is SlotDecision.Granted ->
                     try {
-                        emit(TurnSent)
-                        engineCall(call).run(prompt, call.timeLeft - arrived.elapsedNow(), this)
+                        if (call.target in leaving) {
+                            emit(leavingRefusal(call))
+                        } else {
+                            emit(TurnSent)
+                            engineCall(call).run(prompt, call.timeLeft - arrived.elapsedNow(), this)
+                        }
                     } finally {
                         decision.release()
                     }
@@ -89,9 +102,12 @@
     private fun engineCall(call: RunTurn) = EngineCall(callUpstream, call) { addLeaving(call) }
 
     private fun addLeaving(call: RunTurn) {
-        if (leaving.add(call.target)) log.event("upstream-leaves", "upstream" to call.target.id, "request" to call.turn)
+        if (!leaving.add(call.target)) return
+        log.event("upstream-leaves", "upstream" to call.target.id, "request" to call.turn)
+        gate.refuseWaiting { it in leaving }
     }
 
-    private fun refuseLeaving(call: RunTurn): Flow<Message> =
-        flowOf(TurnRefused(TurnRefusal.TARGET_LEAVES, "${call.target.id} leaves"))
+    private fun refuseLeaving(call: RunTurn): Flow<Message> = flowOf(leavingRefusal(call))
+
+    private fun leavingRefusal(call: RunTurn) = TurnRefused(TurnRefusal.TARGET_LEAVES, "${call.target.id} leaves")
 }
--- a/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
@@ -811,6 +811,29 @@
             assertEquals(setOf("a"), fixture.prompts.keys)
         }
 
+    /**
+     * Guards against a turn that is sent to an engine long after the engine has announced that it is leaving, since it waited for
+     * a slot meanwhile. Another engine could have run it.
+     */
+    @Test
+    fun `a turn that waits for an engine is refused as soon as the engine announces that it is leaving`() =
+        homeTest { fixture ->
+            fixture.startReady(1)
+            fixture.answerTime = 1.seconds
+            val running = List(2) { async { fixture.sendTurn(1, "r$it", program = "q$it") } }
+            delay(500.milliseconds)
+            val next = async { fixture.sendTurn(1, "w0", program = "s0").outcome() }
+            delay(10.milliseconds)
+            val waiting = List(3) { async { fixture.sendTurn(1, "w${it + 1}", program = "s${it + 1}").outcome() } }
+            // The answer to the next turn, which gets a slot at 1 s, announces it while the others still wait.
+            fixture.isEngineLeaving = true
+            assertEquals(List(3) { "TARGET_LEAVES" }, waiting.awaitAll())
+            assertTrue(currentTime < 1500, "refused only after $currentTime ms")
+            assertEquals(setOf("r0", "r1", "w0"), fixture.prompts.keys)
+            assertEquals(listOf("whole", "whole"), running.awaitAll().map { it.outcome() })
+            assertEquals("whole", next.await())
+        }
+
     @Test
     fun `an engine that is restarted under the same id gets turns again`() =
         homeTest { fixture ->
