--- a/homes/src/main/kotlin/sycamore/homes/EngineGate.kt
+++ b/homes/src/main/kotlin/sycamore/homes/EngineGate.kt
@@ -6,6 +6,7 @@
 import sycamore.decisions.turns.TurnQueue
 import sycamore.decisions.turns.UnservableTurn
 import sycamore.decisions.turns.WaitingTurn
+import sycamore.routing.ListedUpstream
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
 import kotlin.time.Duration
@@ -19,6 +20,7 @@
  * @property isContinuation whether the turn continues a previous turn of its program.
  * @property slots the number of turns that the engine processes at once.
  * @property finishIn the time until the program should be finished; null if the caller named none.
+ * @property engine the engine as it is registered; null if the turn may be sent to whichever engine the gate has.
  */
 internal data class GateTurn(
     val priority: Int,
@@ -26,6 +28,7 @@
     val isContinuation: Boolean,
     val slots: Int,
     val finishIn: Duration? = null,
+    val engine: ListedUpstream? = null,
 )
 
 /** The decision of a gate on a turn. */
@@ -43,30 +46,35 @@
 
     /** The gate is closed. The engine did not get the turn. */
     data object Closed : SlotDecision
+
+    /** The engine is leaving, so the turn should be sent to another one. */
+    data object EngineLeaves : SlotDecision
 }
 
 /** The queue in front of one engine. Turns wait in it until the engine has a free slot. */
 internal class EngineGate(
     time: TimeSource,
 ) {
-    private class Waiter(
-        val turn: WaitingTurn,
-    ) {
-        val end = CompletableDeferred<WaitEnd>()
-    }
-
     /** How the wait of a turn in the queue ends. */
-    private sealed interface WaitEnd {
+    private sealed interface Verdict {
         /** The turn may be sent to the engine. */
-        data object Granted : WaitEnd
+        data object Granted : Verdict
 
         /** The engine cannot run the turn in time. */
         class Unservable(
             val turn: UnservableTurn,
-        ) : WaitEnd
+        ) : Verdict
+
+        data object Closed : Verdict
 
-        /** The gate was closed. */
-        data object Closed : WaitEnd
+        data object EngineLeaves : Verdict
+    }
+
+    private class Waiter(
+        val turn: WaitingTurn,
+        val engine: ListedUpstream?,
+    ) {
+        val verdict = CompletableDeferred<Verdict>()
     }
 
     private val start = time.markNow()
@@ -102,8 +110,7 @@
     fun close() =
         lock.withLock {
             isClosed = true
-            waiters.values.forEach { it.end.complete(WaitEnd.Closed) }
-            waiters.clear()
+            queuedTurns().forEach { decide(it, Verdict.Closed) }
         }
 
     /** Suspends until [turn] may be sent to the engine, or is refused. */
@@ -111,7 +118,7 @@
         val waiter = enqueue(turn)
         var isGranted = false
         try {
-            withTimeoutOrNull(turn.timeLeft) { waiter.end.await() }
+            withTimeoutOrNull(turn.timeLeft) { waiter.verdict.await() }
             isGranted = dequeue(waiter)
         } finally {
             if (!isGranted && dequeue(waiter)) release()
@@ -124,18 +131,29 @@
         }
     }
 
+    /** Refuses the waiting turns whose engine [isLeaving]. */
+    fun refuseWaiting(isLeaving: (ListedUpstream) -> Boolean) =
+        lock.withLock {
+            val refused = waiters.values.filter { it.engine?.let(isLeaving) == true }
+            refused.forEach { decide(it.turn, Verdict.EngineLeaves) }
+        }
+
     private fun refusalOf(
         waiter: Waiter,
         turn: GateTurn,
-    ): SlotDecision {
-        val end = if (waiter.end.isCompleted) waiter.end.getCompleted() else null
-        if (end is WaitEnd.Closed) return SlotDecision.Closed
-        if (end !is WaitEnd.Unservable) {
-            return SlotDecision.Refused("no slot became free within ${turn.timeLeft}", turnTime)
+    ): SlotDecision =
+        when (val verdict = waiter.verdictOrNull()) {
+            Verdict.Closed -> SlotDecision.Closed
+            Verdict.EngineLeaves -> SlotDecision.EngineLeaves
+            is Verdict.Unservable -> {
+                val wait = verdict.turn.expectedWait
+                val detail = "a slot is expected in $wait, and the caller waits for ${turn.timeLeft}"
+                SlotDecision.Refused(detail, verdict.turn.retryAfter)
+            }
+            else -> SlotDecision.Refused("no slot became free within ${turn.timeLeft}", turnTime)
         }
-        val detail = "a slot is expected in ${end.turn.expectedWait}, and the caller waits for ${turn.timeLeft}"
-        return SlotDecision.Refused(detail, end.turn.retryAfter)
-    }
+
+    private fun Waiter.verdictOrNull(): Verdict? = if (verdict.isCompleted) verdict.getCompleted() else null
 
     private fun enqueue(turn: GateTurn): Waiter =
         lock.withLock {
@@ -150,11 +168,11 @@
                     isContinuation = turn.isContinuation,
                     finish = turn.finishIn?.let { now + it },
                 )
-            val waiter = Waiter(waiting)
+            val waiter = Waiter(waiting, turn.engine)
+            waiters[number] = waiter
             if (isClosed) {
-                waiter.end.complete(WaitEnd.Closed)
+                decide(waiting, Verdict.Closed)
             } else {
-                waiters[number] = waiter
                 dispatch()
             }
             waiter
@@ -164,7 +182,7 @@
     private fun dequeue(waiter: Waiter): Boolean =
         lock.withLock {
             waiters.remove(waiter.turn.number)
-            waiter.end.isCompleted && waiter.end.getCompleted() is WaitEnd.Granted
+            waiter.verdictOrNull() == Verdict.Granted
         }
 
     private fun release() =
@@ -176,15 +194,20 @@
     private fun dispatch() {
         while (running < slots) {
             val next = TurnQueue.next(queuedTurns(), now, EnginePace(turnTime, slots)) ?: return
-            val waiter = waiters.remove(next.number) ?: return
+            if (!decide(next, Verdict.Granted)) return
             running++
-            waiter.end.complete(WaitEnd.Granted)
         }
         for (unservable in TurnQueue.unservable(queuedTurns(), now, EnginePace(turnTime, slots))) {
-            waiters.remove(unservable.turn.number)?.end?.complete(WaitEnd.Unservable(unservable))
+            decide(unservable.turn, Verdict.Unservable(unservable))
         }
     }
 
+    /** Removes [turn] from the queue with [verdict]. Returns false if it is not in the queue. */
+    private fun decide(
+        turn: WaitingTurn,
+        verdict: Verdict,
+    ): Boolean = waiters.remove(turn.number)?.verdict?.complete(verdict) == true
+
     private fun queuedTurns(): List<WaitingTurn> = waiters.values.map { it.turn }
 
     private fun updateTurnTime(duration: Duration) {
--- a/homes/src/main/kotlin/sycamore/homes/PromptSender.kt
+++ b/homes/src/main/kotlin/sycamore/homes/PromptSender.kt
@@ -72,11 +72,20 @@
     ): Flow<Message> =
         flow {
             val arrived = time.markNow()
-            val turn = GateTurn(call.priority, call.timeLeft, call.previous != null, call.engineSlots, call.finishIn)
+            val turn =
+                GateTurn(
+                    call.priority,
+                    call.timeLeft,
+                    call.previous != null,
+                    call.engineSlots,
+                    call.finishIn,
+                    call.target,
+                )
             when (val decision = gate.awaitSlot(turn)) {
                 is SlotDecision.Refused -> emit(TurnRefused(TurnRefusal.NOT_NOW, decision.detail, decision.retryAfter))
                 // Other engines and homes can run it.
                 SlotDecision.Closed -> emit(TurnRefused(TurnRefusal.TARGET_GONE, "the engine's host is leaving"))
+                SlotDecision.EngineLeaves -> emit(leavingRefusal(call))
                 is SlotDecision.Granted ->
                     try {
                         sendInTime(call, prompt, call.timeLeft - arrived.elapsedNow())
@@ -86,12 +95,13 @@
             }
         }
 
-    /** Sends [prompt] if its caller still waits for the answer. */
+    /** Sends [prompt] if its engine is not leaving and its caller still waits for the answer. */
     private suspend fun FlowCollector<Message>.sendInTime(
         call: RunTurn,
         prompt: ByteArray,
         timeLeft: Duration,
     ) {
+        if (call.target in leaving) return emit(leavingRefusal(call))
         if (timeLeft <= Duration.ZERO) return emit(TurnRefused(TurnRefusal.NOT_NOW, "the turn's time is over"))
         emit(TurnSent)
         engineCall(call).run(prompt, timeLeft, this)
@@ -100,9 +110,12 @@
     private fun engineCall(call: RunTurn) = EngineCall(callUpstream, call) { addLeaving(call) }
 
     private fun addLeaving(call: RunTurn) {
-        if (leaving.add(call.target)) log.event("upstream-leaves", "upstream" to call.target.id, "request" to call.turn)
+        if (!leaving.add(call.target)) return
+        log.event("upstream-leaves", "upstream" to call.target.id, "request" to call.turn)
+        gate.refuseWaiting { it in leaving }
     }
 
-    private fun refuseLeaving(call: RunTurn): Flow<Message> =
-        flowOf(TurnRefused(TurnRefusal.TARGET_LEAVES, "${call.target.id} leaves"))
+    private fun refuseLeaving(call: RunTurn): Flow<Message> = flowOf(leavingRefusal(call))
+
+    private fun leavingRefusal(call: RunTurn) = TurnRefused(TurnRefusal.TARGET_LEAVES, "${call.target.id} leaves")
 }
