--- a/homes/src/main/kotlin/sycamore/homes/PromptSender.kt
+++ b/homes/src/main/kotlin/sycamore/homes/PromptSender.kt
@@ -54,9 +54,7 @@
         return when {
             call.target.address == localEngine -> sendToLocalEngine(call, prompt)
             host != null -> flow { emitAll(exchange(host, RunPrompt(call, prompt))) }
-            call.target in leaving -> refuseLeaving(call)
-            else ->
-                flow { sendInTime(call, prompt, call.timeLeft) }
+            else -> flow { sendInTime(call, prompt, call.timeLeft) }
         }
     }
 
