--- a/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
@@ -597,7 +597,7 @@
             val other = async { fixture.exchange(address(2), TakeOverHome(lost[0], isVoluntary = true)).first() }
             assertIs<HomeTakenOver>(handover.await())
             other.await()
-            listOf(first, second).forEach { it.stop() }
+            listOf(first, second).forEach { it.stop(7.seconds) }
             (1..2).forEach { fixture.kill(address(it)) }
             fixture.keys.setFaults { it.copy(delay = ZERO) }
             assertEquals("whole", fixture.sendTurn(3, "c", "a").outcome())
