--- a/gateway/src/test/kotlin/sycamore/gateway/CallLogTest.kt
+++ b/gateway/src/test/kotlin/sycamore/gateway/CallLogTest.kt
@@ -1,9 +1,19 @@
 package sycamore.gateway
 
+import kotlinx.coroutines.flow.flowOf
 import kotlinx.coroutines.runBlocking
 import sycamore.gateway.LogLines.Companion.field
 import sycamore.gateway.LogLines.Companion.isExceptional
+import sycamore.links.GateStatus
+import sycamore.links.GetGateStatus
+import sycamore.links.RunTurn
+import sycamore.links.TurnInterrupted
+import sycamore.links.TurnRefusal
+import sycamore.links.TurnRefused
+import sycamore.links.Unsupported
 import sycamore.model.Address
+import sycamore.model.HomeId
+import sycamore.platform.SampleDocuments
 import sycamore.standins.SocketRequest
 import java.io.OutputStream
 import java.net.ServerSocket
@@ -11,6 +21,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import kotlin.time.Duration
 
 /** Guards against calls whose line does not tell why an attempt was concluded as not run, or as failed. */
 class CallLogTest {
@@ -73,6 +84,44 @@
         assertTrue(!line.isExceptional)
     }
 
+    /** Guards against a turn whose line does not tell why its first engine did not run it. */
+    @Test
+    fun `the line of a turn that was sent again tells where and why it was not run`() {
+        val home = HomeId.parse("here.h1.0123456789ab")!!
+        val replies =
+            ArrayDeque(
+                listOf(
+                    TurnRefused(TurnRefusal.TARGET_GONE, "another upstream answers"),
+                    TurnInterrupted("the engine broke off"),
+                ),
+            )
+        gateway =
+            SocketGateway(
+                links = { _, message ->
+                    flowOf(
+                        when (message) {
+                            is GetGateStatus -> GateStatus(home, isReady = true, 0, 0, Duration.ZERO)
+                            is RunTurn -> replies.removeFirst()
+                            else -> Unsupported
+                        },
+                    )
+                },
+            )
+        runBlocking { repeat(2) { gateway.register("e$it", Address("10.0.0.$it", 80), "engines") } }
+        val headers = SampleDocuments.turnHeaders("t", "p", previous = null)
+        assertEquals(502, SocketGateway.status(gateway.call("t", headers, path = "/turns/1")))
+        val line = lines.await("call-ended", "t")
+        val attempts = line.field("attempts")!!.split("; ")
+        assertEquals(listOf("e0", "e1"), attempts.map { it.take(2) }.sorted())
+        val details =
+            listOf(
+                "not run (via $home): TARGET_GONE, another upstream answers",
+                "failed (via $home): the engine broke off",
+            )
+        assertEquals(details, attempts.map { it.drop(3) })
+        assertTrue(line.isExceptional)
+    }
+
     private fun refuse(
         request: SocketRequest,
         out: OutputStream,
--- a/gateway/src/test/kotlin/sycamore/gateway/SocketGateway.kt
+++ b/gateway/src/test/kotlin/sycamore/gateway/SocketGateway.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.runBlocking
 import sycamore.forwarding.CallerServer
 import sycamore.forwarding.UpstreamClient
+import sycamore.links.Exchange
 import sycamore.links.LinkException
 import sycamore.model.Address
 import sycamore.platform.Header
@@ -30,9 +31,11 @@
  * them serve plain calls that must run once.
  *
  * @param behaviours what each upstream writes in response to a request.
+ * @param links how the gateway exchanges messages with homes. By default none can be reached.
  */
 internal class SocketGateway(
     vararg behaviours: (SocketRequest, OutputStream) -> Unit,
+    links: Exchange = { to, _ -> throw LinkException("$to is down", sent = false) },
 ) : AutoCloseable {
     private val store = KeyValueStore()
     private val scope = CoroutineScope(Dispatchers.Default + SupervisorJob())
@@ -41,9 +44,8 @@
     private val sockets = CopyOnWriteArrayList<Socket>()
 
     val upstreams = behaviours.map { SocketUpstream(it) }
-    private val noLinks = { to: Address, _: Any -> throw LinkException("$to is down", sent = false) }
     private val gateway =
-        Gateway(GatewayFixture.settings, store, noLinks, client::exchange, SimpleMeterRegistry())
+        Gateway(GatewayFixture.settings, store, links, client::exchange, SimpleMeterRegistry())
     private val server =
         CallerServer(CallerServer.listen(callers), gateway::limits, Dispatchers.Default, gateway::serve)
 
@@ -62,13 +64,14 @@
         }
     }
 
-    /** Registers an upstream at [address]. */
+    /** Registers an upstream of [service] at [address]. */
     suspend fun register(
         id: String,
         address: Address,
+        service: String = "plain",
     ) = store.put(
         StoreKeys.UPSTREAMS + id,
-        SampleDocuments.upstreamEntry("plain", address, "here"),
+        SampleDocuments.upstreamEntry(service, address, "here"),
         Revision.ABSENT,
     )
 
@@ -77,19 +80,20 @@
         id: String,
         headers: List<Header> = SampleDocuments.callHeaders(id),
         body: String = "",
-    ): String = start(id, headers, body).getInputStream().readAllBytes().decodeToString()
+        path: String = "/calls/1",
+    ): String = start(headers, body, path).getInputStream().readAllBytes().decodeToString()
 
     /** Sends a call on a new connection, which the response closes. */
-    fun start(
-        id: String,
-        headers: List<Header> = SampleDocuments.callHeaders(id),
-        body: String = "",
+    private fun start(
+        headers: List<Header>,
+        body: String,
+        path: String,
     ): Socket {
         val socket = Socket(callers.ip, callers.port).also(sockets::add)
         socket.soTimeout = READ_TIMEOUT_MILLIS
         val fields = headers.joinToString("") { (name, value) -> "$name: $value\r\n" }
         val framing = "Host: $HOST\r\nConnection: close\r\nContent-Length: ${body.length}\r\n"
-        socket.getOutputStream().write("POST /calls/1 HTTP/1.1\r\n$framing$fields\r\n$body".encodeToByteArray())
+        socket.getOutputStream().write("POST $path HTTP/1.1\r\n$framing$fields\r\n$body".encodeToByteArray())
         return socket
     }
 
