Fault soak: callers that send the next call at once

A gateway that stops closes idle connections every 20 ms, so a caller that pauses for up to 60 ms rarely sends its next call on a connection whose last answer did not announce its close. `--pause-millis 0` does, and so do the selected tests of stops.

--- a/soak/src/main/kotlin/sycamore/soak/Caller.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Caller.kt
@@ -7,6 +7,7 @@
 import sycamore.platform.SampleDocuments
 import java.io.IOException
 import kotlin.random.Random
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
@@ -38,13 +39,17 @@
                     CallKind.TURN -> program()
                     else -> call(kind)
                 }
-                delay(random.nextLong(MAX_PAUSE_MILLIS).milliseconds)
+                pause()
             }
         } finally {
             connection?.close()
         }
     }
 
+    private suspend fun pause() {
+        if (plan.maxPause > Duration.ZERO) delay(random.nextLong(plan.maxPause.inWholeMilliseconds).milliseconds)
+    }
+
     /** Sends one plain call, with further attempts where they are allowed. Returns whether it succeeded. */
     suspend fun call(kind: CallKind): Boolean {
         val body = "body of $number.${sent + 1} " + "y".repeat(random.nextInt(MAX_BODY_BYTES))
@@ -73,7 +78,7 @@
             val turn = turn(account, previous) ?: return
             done += turn
             lastTurn = turn
-            delay(random.nextLong(MAX_PAUSE_MILLIS).milliseconds)
+            pause()
         }
     }
 
@@ -182,7 +187,6 @@
         const val SMALL_BUDGET = 150L
         const val LARGE_BUDGET = 100_000L
         const val MAX_BODY_BYTES = 2_000
-        const val MAX_PAUSE_MILLIS = 60L
         val RETRY_DELAY = 100.milliseconds
         val CONNECT_TIMEOUT = 1.seconds
 
--- a/soak/src/main/kotlin/sycamore/soak/Main.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Main.kt
@@ -40,6 +40,9 @@
     val sequential by parser
         .option(ArgType.Boolean, "sequential", description = "Each fault ends before the next one begins")
         .default(false)
+    val pause by parser
+        .option(ArgType.Int, "pause-millis", description = "The longest time between calls of a caller")
+        .default(DEFAULT_PAUSE_MILLIS)
     val gap by parser.option(ArgType.Int, "gap-millis", description = "The longest time between faults")
     parser.parse(args)
     val defaults = UpstreamLimits()
@@ -71,6 +74,7 @@
                 select(roles, Role.entries),
                 sequential,
                 gap?.milliseconds ?: DEFAULT_GAP,
+                pause.milliseconds,
             )
         }
     val results = plans.map { plan -> runBlocking { FaultSoak(plan).run() }.also(::show) }
@@ -105,6 +109,7 @@
 ): Nothing = Program.fail(Program.EXIT_MISUSE, "expected names out of $all, found '$name'")
 
 private const val DEFAULT_SECONDS = 20
+private const val DEFAULT_PAUSE_MILLIS = 60
 private const val DEFAULT_DEADLINE_MILLIS = 5_000
 private val DEFAULT_GAP = 1_500.milliseconds
 private const val DEFAULT_HOSTS = 3
--- a/soak/src/main/kotlin/sycamore/soak/SoakPlan.kt
+++ b/soak/src/main/kotlin/sycamore/soak/SoakPlan.kt
@@ -19,6 +19,7 @@
  * @property roles the daemons that faults affect.
  * @property isSequential whether each fault ends before the next one begins.
  * @property maxGap the longest time between the beginnings of two faults.
+ * @property maxPause the longest time between the answer to a caller and its next call.
  * @property limits what each upstream takes.
  * @property classPath the class path with the daemons to test.
  * @property folder the folder for settings, data, logs and violations.
@@ -40,6 +41,7 @@
     val roles: List<Role> = Role.entries,
     val isSequential: Boolean = false,
     val maxGap: Duration = 1_500.milliseconds,
+    val maxPause: Duration = 60.milliseconds,
 ) {
     val retainers: Int get() = if (homes == 0) 0 else maxOf(MIN_RETAINERS, homes / HOSTS_PER_RETAINER)
 
--- a/soak/src/test/kotlin/sycamore/soak/FaultSoakTest.kt
+++ b/soak/src/test/kotlin/sycamore/soak/FaultSoakTest.kt
@@ -7,6 +7,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -89,6 +90,7 @@
         deadline = 12.seconds,
         roles = listOf(role),
         isSequential = true,
+        maxPause = Duration.ZERO,
     )
 
     private fun run(plan: (folder: File) -> SoakPlan): SoakResult {
