Homes: a home that is stopping takes over no programs

What callers saw: when two hosts beside engines stopped at the same time, turns that continue programs of the one that stopped later were refused as not run (503) until the loss of the other one was noticed and a third home had read both logs. A handover exists to avoid just that.

Cause: a stopping home refuses turns, but still agreed to takeovers. If its own handover was over, as when it has no programs and only waits for turns of other homes at its engine, what it adopted ended with it.

Evidence: the test failed before, "Expected value to be true": the third home did not have the turn. With the fix it passes.

A takeover that begins while the host is leaving is now declined, so the other home asks the next one. A takeover that has begun before, or is complete, is answered as before.

--- a/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
@@ -95,7 +95,7 @@
             onChange = { home.journal.onRetainersChanged() },
         )
     private val homes = HomeList(keys, InvalidEntries("home", registry))
-    private val takeovers = HomeTakeovers(keys, exchange, copies, scope, meters, time) { home }
+    private val takeovers = HomeTakeovers(keys, exchange, copies, scope, meters, time, { isLeaving }) { home }
     private val spent = SpentPrograms(keys, scope)
     private val runningTurns = AtomicInteger()
 
--- a/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
@@ -45,7 +45,11 @@
 
 private val log = KotlinLogging.logger {}
 
-/** Takes over the programs of homes that have been lost or are leaving. */
+/**
+ * Takes over the programs of homes that have been lost or are leaving.
+ *
+ * @param isLeaving returns whether the host of this daemon is leaving. It then begins no takeover.
+ */
 internal class HomeTakeovers(
     private val keys: KeyValue,
     private val exchange: Exchange,
@@ -53,6 +57,7 @@
     private val scope: CoroutineScope,
     private val meters: TurnMeters,
     private val time: TimeSource,
+    private val isLeaving: () -> Boolean,
     private val currentHome: () -> TurnHome,
 ) {
     private val logSealer = LogSealer(keys)
@@ -138,6 +143,8 @@
         // is ready.
         val canTakeOver = home.isReady || request.isVoluntary && home.isRegistered
         return when {
+            // Its own handover may be over, so that no other home would get what it adopts.
+            isLeaving() -> Declined("the host of ${home.id} is leaving", RETRY_DELAY)
             !canTakeOver -> Declined("${home.id} is not ready", RETRY_DELAY)
             request.isVoluntary -> null
             // After a power failure the first home that is up would be requested to take over all others, and would take
--- a/homes/src/test/kotlin/sycamore/homes/StoppingHomeTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/StoppingHomeTest.kt
@@ -11,11 +11,14 @@
 import kotlinx.coroutines.test.runTest
 import sycamore.homes.HomeFixture.Companion.address
 import sycamore.homes.HomeFixture.Companion.outcome
+import sycamore.links.FindTurn
 import sycamore.links.GateStatus
 import sycamore.links.GetGateStatus
 import sycamore.links.Message
 import sycamore.links.RunPrompt
+import sycamore.links.TurnFound
 import sycamore.links.TurnRefusal
+import sycamore.routing.AttemptId
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -111,4 +114,26 @@
             fixture.answerTime = 50.milliseconds
             assertEquals("whole", fixture.sendTurn(2, "b", "a", program = "of-a").outcome())
         }
+
+    /** When two hosts stopped at once, one of them handed its programs over to the other one, which ended with them. */
+    @Test
+    fun `a home that is stopping takes over no programs`() =
+        homeTest { fixture ->
+            val first = fixture.startReady(1)
+            val second = fixture.startReady(2)
+            fixture.startReady(3)
+            assertEquals("whole", fixture.sendTurn(1, "a").outcome())
+            fixture.answerTime = 4.seconds
+            sendTurn(fixture, home = 3, engine = 2, "b")
+            delay(500.milliseconds)
+            launch { second.stop(7.seconds) }
+            delay(100.milliseconds)
+            first.stop(7.seconds)
+            assertTrue(fixture.hasTurn(3, "a"))
+        }
+
+    private suspend fun HomeFixture.hasTurn(
+        number: Int,
+        name: String,
+    ): Boolean = (exchange(address(number), FindTurn(AttemptId(name))).first() as TurnFound).hasTurn
 }
