Homes: check an engine's registration before a turn that has waited long is sent

Callers' turns could reach an engine seconds after it had registered as leaving: a gateway learns of that up to about a second later, and a turn that it sends before may then wait in the queue of the engine's gate until its deadline, past the time for which a leaving engine serves. Homes do not follow the registrations of upstreams.

An engine that registered as leaving is marked as leaving, and its other turns are refused at once, so gateways send them elsewhere.

A turn is now counted before a home checks whether it is stopping, so a stop that begins in between waits for it (found in review; the interleaving needs real threads).

--- a/homes/src/main/kotlin/sycamore/homes/EngineGate.kt
+++ b/homes/src/main/kotlin/sycamore/homes/EngineGate.kt
@@ -65,8 +65,10 @@
             val turn: UnservableTurn,
         ) : Verdict
 
+        /** The gate was closed. */
         data object Closed : Verdict
 
+        /** The engine announced that it is leaving. */
         data object EngineLeaves : Verdict
     }
 
--- a/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
@@ -80,7 +80,9 @@
     private val meters = TurnMeters(registry)
     private val copies = RecordCopies(settings.maxLostDisks)
     private val gate = EngineGate(time)
-    private val prompts = PromptSender(settings.upstream, gate, callUpstream, exchange, time)
+    private val registrations = EngineRegistrations(keys, settings.bounds.drainTime, time)
+    private val prompts =
+        PromptSender(settings.upstream, gate, callUpstream, exchange, registrations::hasLeftSince, time)
     private val retainers =
         RetainerDirectory(
             keys,
@@ -193,13 +195,14 @@
     }
 
     private suspend fun FlowCollector<Message>.runTurn(call: RunTurn) {
-        val home = home
-        if (!home.isReady || isLeaving) {
-            val reason = if (isLeaving) "the host is leaving" else "the home is not registered yet"
-            return emit(TurnRefused(TurnRefusal.NOT_HERE, reason))
-        }
+        // Counted before the check, so that a stop that begins in between waits for the turn.
         runningTurns.incrementAndGet()
         try {
+            val home = home
+            if (!home.isReady || isLeaving) {
+                val reason = if (isLeaving) "the host is leaving" else "the home is not registered yet"
+                return emit(TurnRefused(TurnRefusal.NOT_HERE, reason))
+            }
             val replies = TurnRunner(home, prompts::send, exchange, spent, meters, time).run(call)
             emitAll(replies.map { if (it is TurnComplete) TurnComplete(gateStatus()) else it })
         } finally {
--- a/homes/src/main/kotlin/sycamore/homes/PromptSender.kt
+++ b/homes/src/main/kotlin/sycamore/homes/PromptSender.kt
@@ -17,6 +17,8 @@
 import sycamore.links.TurnRefused
 import sycamore.links.TurnSent
 import sycamore.model.Address
+import sycamore.routing.ListedUpstream
+import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.TimeSource
 
@@ -33,6 +35,7 @@
  * Sends prompts to engines through the gate of each engine.
  *
  * @property localEngine the address of the engine on the host of this daemon; null if it has none.
+ * @property hasLeftSince returns whether an engine has registered as leaving while a turn has waited for it.
  * @property leaving the engines that have announced that they are leaving. They get no further turns.
  */
 internal class PromptSender(
@@ -40,7 +43,8 @@
     private val gate: EngineGate,
     private val callUpstream: CallUpstream,
     private val exchange: Exchange,
-    private val time: TimeSource,
+    private val hasLeftSince: suspend (arrived: ComparableTimeMark, engine: ListedUpstream) -> Boolean,
+    private val time: TimeSource.WithComparableMarks,
     private val leaving: LeavingUpstreams = LeavingUpstreams(),
 ) {
     /**
@@ -86,6 +90,7 @@
                 SlotDecision.EngineLeaves -> emit(leavingRefusal(call))
                 is SlotDecision.Granted ->
                     try {
+                        if (hasLeftSince(arrived, call.target)) addLeaving(call)
                         sendInTime(call, prompt, call.timeLeft - arrived.elapsedNow())
                     } finally {
                         decision.release()
--- a/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
@@ -834,6 +834,24 @@
             assertEquals("whole", next.await())
         }
 
+    /**
+     * Guards against a turn that reaches an engine seconds after the engine has registered as leaving: the gateway did not know it
+     * yet when it sent the turn, and the turn then waited for a slot.
+     */
+    @Test
+    fun `a turn that has waited long is not sent to an engine that has registered as leaving meanwhile`() =
+        homeTest { fixture ->
+            fixture.startReady(1)
+            fixture.answerTime = 1.5.seconds
+            val running = List(2) { async { fixture.sendTurn(1, "r$it", program = "q$it") } }
+            delay(100.milliseconds)
+            val waiting = List(2) { async { fixture.sendTurn(1, "w$it", program = "s$it").outcome() } }
+            fixture.registerEngine(1, state = "draining")
+            assertEquals(List(2) { "TARGET_LEAVES" }, waiting.awaitAll())
+            assertEquals(listOf("whole", "whole"), running.awaitAll().map { it.outcome() })
+            assertEquals(setOf("r0", "r1"), fixture.prompts.keys)
+        }
+
     /**
      * Guards against turns that are sent to a leaving engine by a gateway that knows its last start, while the gateway that received
      * the announcement knew only the start before.
--- a/homes/src/test/kotlin/sycamore/homes/HomeFixture.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeFixture.kt
@@ -46,6 +46,7 @@
 import sycamore.platform.HostSettings
 import sycamore.platform.PlatformBounds
 import sycamore.platform.SampleDocuments
+import sycamore.platform.StoreKeys
 import sycamore.platform.StoreSettings
 import sycamore.routing.AttemptId
 import sycamore.routing.ListedUpstream
@@ -178,6 +179,15 @@
         assertIs<WriteResult.Applied>(keys.put(key, RetainerKeys.encode(retainer.self.copy(isLeaving = true)), version))
     }
 
+    /** Writes the registration of the engine of host [number] with [state]. */
+    suspend fun registerEngine(
+        number: Int,
+        state: String,
+    ) {
+        val entry = SampleDocuments.upstreamEntry("llm", engine(number), "p1", state)
+        assertIs<WriteResult.Applied>(keys.put(StoreKeys.UPSTREAMS + "u$number", entry, Revision.ABSENT))
+    }
+
     /** Sends a turn to the home on host [number] and returns all replies. */
     suspend fun sendTurn(
         number: Int,
--- a/homes/src/test/kotlin/sycamore/homes/MisattributedEngineAnswersTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/MisattributedEngineAnswersTest.kt
@@ -34,6 +34,7 @@
             EngineGate(TimeSource.Monotonic),
             client::exchange,
             { to, _ -> throw LinkException("$to is down", sent = false) },
+            { _, _ -> false },
             TimeSource.Monotonic,
         )
     private var refusalStatus = 503
