Close idle connections of a stopping gateway before requests on them are recognised

A request that crossed the close of its idle connection was aborted, which writes an error response if the connection is still open. All idle connections were marked first, and closed one by one after that.

Connections are now marked and closed in one step, so that such a request finds its connection closed, and its caller a connection that ended before the request was read.

--- a/forwarding/src/main/kotlin/sycamore/forwarding/CallerServer.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/CallerServer.kt
@@ -79,7 +79,7 @@
         stop.awaitCallersLeave()
         connector.close()
         while (connector.connectedEndPoints.isNotEmpty()) {
-            openRequests.closeIdle(connector.connectedEndPoints).forEach { it.close() }
+            openRequests.closeIdle(connector.connectedEndPoints) { it.close() }
             delay(DRAIN_CHECK_INTERVAL)
         }
     }
--- a/forwarding/src/main/kotlin/sycamore/forwarding/OpenRequests.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/OpenRequests.kt
@@ -24,7 +24,16 @@
         open.computeIfPresent(connection) { _, count -> (count - 1).takeIf { it > 0 } }
     }
 
-    /** Marks those of [connections] that have no open request as closed, and returns them. */
+    /**
+     * Closes those of [connections] that have no open request, by calling [close]. A request that arrives meanwhile begins either
+     * before, so that its connection stays open, or after the connection was closed, so that nothing is sent to its caller.
+     */
     @Synchronized
-    fun closeIdle(connections: Collection<T>): List<T> = connections.filter { it !in open }.also { closed += it }
+    fun closeIdle(
+        connections: Collection<T>,
+        close: (T) -> Unit,
+    ) = connections.filter { it !in open }.forEach {
+        closed += it
+        close(it)
+    }
 }
