--- a/forwarding/src/main/kotlin/sycamore/forwarding/UpstreamClient.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/UpstreamClient.kt
@@ -38,6 +38,7 @@
  * A request to an upstream.
  *
  * @property id the id of the attempt, which is among [headers]. The upstream names it in its response.
+ * @property permit the permission to send it, which the sender may withdraw.
  */
 class UpstreamRequest(
     val id: AttemptId,
@@ -46,6 +47,7 @@
     val target: String,
     val headers: List<Header>,
     val body: ByteArray,
+    val permit: SendPermit = SendPermit(),
 )
 
 /** A part of a response. The parts are emitted in the order in which they are received. */
@@ -77,10 +79,12 @@
  * Thrown when the upstream did not send a complete response.
  *
  * @property sent whether the upstream may have received the request.
+ * @property connection the use of the connection on which the request was sent; null if unknown, or if it was not sent.
  */
 class UpstreamException(
     message: String,
     val sent: Boolean,
+    val connection: ConnectionUse? = null,
 ) : IOException(message)
 
 /**
@@ -127,11 +131,12 @@
     fun exchange(request: UpstreamRequest): Flow<ResponseEvent> =
         flow {
             val response = ResponseReader(request)
+            request.permit.manage()
             val jetty =
                 client
                     .newRequest("http://${request.address}${request.target}")
                     .method(request.method)
-                    .onRequestBegin { response.sent.set(true) }
+                    .onRequestBegin { response.begin(it) }
                     .headers { fields -> request.headers.forEach { (name, value) -> fields.add(name, value) } }
             if (request.body.isNotEmpty()) jetty.body(BytesRequestContent(null as String?, request.body))
             jetty.send(response)
@@ -184,7 +189,10 @@
         private val request: UpstreamRequest,
     ) : Response.Listener {
         val parts = Channel<Part>(Channel.UNLIMITED)
-        val sent = AtomicBoolean()
+        private val sent = AtomicBoolean()
+
+        @Volatile
+        private var connection: ClientConnection? = null
 
         /** Whether the complete response was received. */
         @Volatile
@@ -196,6 +204,16 @@
         var isShort = false
             private set
 
+        /** Records that [jetty] is about to be written on its connection, or aborts it if the permit was withdrawn. */
+        fun begin(jetty: Request) {
+            if (!request.permit.use()) {
+                jetty.abort(CancellationException("the request was withdrawn"))
+                return
+            }
+            connection = jetty.connection as? ClientConnection
+            sent.set(true)
+        }
+
         override fun onHeaders(response: Response) {
             if (HttpStatus.isInformational(response.status)) {
                 response.abort(IOException("the upstream sent an interim response (${response.status})"))
@@ -207,7 +225,7 @@
             record.recordHead(request, head, use)
             if (head.id != request.id) {
                 // The upstream may repeat an earlier response, so the responses that follow are out of step too.
-                response.abort(UpstreamException(misattribution(head, use), sent = true))
+                response.abort(UpstreamException(misattribution(head, use), sent = true, use))
                 return
             }
             isShort = response.headers.getLongField("Content-Length") in 0..SHORT_BODY_BYTES
@@ -233,7 +251,10 @@
             } else {
                 val failure = result.failure
                 record.recordFailure(sent.get())
-                parts.close(failure as? UpstreamException ?: UpstreamException(reason(failure), sent.get()))
+                val exception =
+                    failure as? UpstreamException
+                        ?: UpstreamException(reason(failure), sent.get(), connection?.use)
+                parts.close(exception)
             }
         }
     }
--- a/gateway/src/main/kotlin/sycamore/gateway/AcceptedCall.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/AcceptedCall.kt
@@ -1,6 +1,9 @@
 package sycamore.gateway
 
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
 import sycamore.forwarding.ConnectionUse
+import sycamore.forwarding.PlannedStop
 import sycamore.model.HomeId
 import sycamore.model.ServiceName
 import sycamore.platform.Header
@@ -18,6 +21,7 @@
  * @property forwarded the headers that are forwarded to the upstream.
  * @property deadline the time by which the call has to be answered: the caller's deadline, or the end of the route's
  *   timeout if that is earlier.
+ * @property stop the planned stop of this gateway.
  */
 internal class AcceptedCall(
     val route: Route,
@@ -28,12 +32,20 @@
     val forwarded: List<Header>,
     val body: ByteArray,
     val deadline: ComparableTimeMark,
+    private val stop: PlannedStop,
 ) {
     /** How the call was handled, for the log. */
     val trace = CallTrace()
 
-    /** The time left until the call has to be answered. */
-    val timeLeft: Duration get() = -deadline.elapsedNow()
+    /** Whether an upstream may have run the call, or may be running it. */
+    @Volatile
+    var mayHaveRun = false
+
+    /** The time left until the call has to be answered, which is limited by the stop of this gateway. */
+    val timeLeft: Duration get() = minOf(-deadline.elapsedNow(), stop.timeLeft)
+
+    /** Whether the stop of this gateway leaves the call its time, so that it may be sent to an upstream. */
+    val isSendable: Boolean get() = stop.admits(-deadline.elapsedNow())
 }
 
 /** Collects for the log how a call was handled. */
@@ -54,7 +66,25 @@
     @Volatile
     var connection: ConnectionUse? = null
 
+    /** The attempts without a complete response, in their order. */
+    @Volatile
+    var failedAttempts: PersistentList<AttemptTrace> = persistentListOf()
+        private set
+
+    /** Whether the call was sent more than once, or an attempt did not lead to a complete response. */
+    val isUnusual: Boolean get() = sends > 1 || failedAttempts.isNotEmpty()
+
+    /** Adds [attempt], unless [MAX_ATTEMPTS] are known. */
+    fun add(attempt: AttemptTrace) {
+        if (failedAttempts.size < MAX_ATTEMPTS) failedAttempts = failedAttempts.add(attempt)
+    }
+
     /** Why no upstream answered the call; null if one did. */
     @Volatile
     var detail: String? = null
+
+    private companion object {
+        /** Above the number of upstreams that a plain call is sent to. Bounds the line of a turn that is sent to many. */
+        const val MAX_ATTEMPTS = 8
+    }
 }
--- a/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
@@ -16,6 +16,7 @@
 import sycamore.forwarding.BodyTooLargeException
 import sycamore.forwarding.CallUpstream
 import sycamore.forwarding.CallerExchange
+import sycamore.forwarding.PlannedStop
 import sycamore.links.Exchange
 import sycamore.model.Generation
 import sycamore.model.ServiceName
@@ -44,6 +45,7 @@
     exchange: Exchange,
     callUpstream: CallUpstream,
     registry: MeterRegistry,
+    private val stop: PlannedStop = PlannedStop({ settings.bounds.gracePeriod }),
     private val time: TimeSource.WithComparableMarks = TimeSource.Monotonic,
 ) {
     private val startedAt = time.markNow()
@@ -99,17 +101,21 @@
         }
         val body =
             try {
-                caller.readBody(table.limits.bodyBytes)
+                stop.untilFinalAnswers { caller.readBody(table.limits.bodyBytes) }
             } catch (e: BodyTooLargeException) {
                 logRefusal(head, GatewayError.TOO_LARGE, e.message!!, table.generation)
                 return caller.respond(GatewayError.TOO_LARGE, e.message!!, head.id)
             }
+        if (body == null) {
+            logRefusal(head, GatewayError.NOT_RUN, STOPPING, table.generation)
+            return caller.respond(GatewayError.NOT_RUN, STOPPING, head.id, STOP_RETRY_AFTER)
+        }
         val job = currentCoroutineContext().job
         caller.watchCaller { job.cancel() }
         val call = accept(caller, route, head, body, arrivedAt)
         meters.recordStart()
         try {
-            serve(caller, call)
+            stop.untilFinalAnswers { serve(caller, call) } ?: answerFinally(caller, call)
         } finally {
             meters.recordEnd(route, caller.status, caller.abortReason != null, arrivedAt.elapsedNow())
             logEnd(caller, call, table.generation, arrivedAt)
@@ -145,6 +151,7 @@
             "status" to error.status,
             "detail" to detail,
             "version" to generation,
+            isExceptional = error == GatewayError.NOT_RUN,
         )
     }
 
@@ -164,6 +171,10 @@
         "home" to call.trace.home,
         "upstream" to call.trace.upstream,
         "sends" to call.trace.sends,
+        "attempts" to
+            call.trace.failedAttempts
+                .takeIf { it.isNotEmpty() }
+                ?.joinToString("; "),
         "connection_requests" to call.trace.connection?.requests,
         "connection_ms" to
             call.trace.connection
@@ -174,6 +185,7 @@
         "detail" to call.trace.detail,
         "ms" to arrivedAt.elapsedNow().inWholeMilliseconds,
         "time_left_ms" to call.timeLeft.inWholeMilliseconds,
+        isExceptional = call.trace.isUnusual || caller.status !in SUCCESS_STATUSES || caller.abortReason != null,
     )
 
     private fun accept(
@@ -193,6 +205,7 @@
             forwarded = CallHeaders.filterForUpstream(caller.headers),
             body = body,
             deadline = arrivedAt + limit,
+            stop = stop,
         )
     }
 
@@ -200,6 +213,7 @@
         caller: CallerExchange,
         call: AcceptedCall,
     ) {
+        if (!call.isSendable) return refuseAsStopping(caller, call)
         val turn = call.head.id!!
         if (call.route.repeat == RepeatPolicy.ONCE_STREAMED && engine(call) != null) {
             // A call without a program is handled as the only turn of a program of its own.
@@ -209,6 +223,27 @@
         }
     }
 
+    /** Ends [call], which is still open when this gateway stops. */
+    private suspend fun answerFinally(
+        caller: CallerExchange,
+        call: AcceptedCall,
+    ) {
+        call.trace.detail = STOPPING
+        when {
+            caller.isStarted -> caller.abort(STOPPING)
+            call.mayHaveRun -> caller.respond(GatewayError.TOO_LATE, STOPPING, call.head.id)
+            else -> refuseAsStopping(caller, call)
+        }
+    }
+
+    private suspend fun refuseAsStopping(
+        caller: CallerExchange,
+        call: AcceptedCall,
+    ) {
+        call.trace.detail = STOPPING
+        caller.respond(GatewayError.NOT_RUN, STOPPING, call.head.id, STOP_RETRY_AFTER)
+    }
+
     /**
      * Chooses one of the services of [route] by weight. All turns of a program go to the same service, since the
      * engines of the others do not hold its cache.
@@ -239,6 +274,7 @@
     ) = table?.services?.get(service)?.engine
 
     private companion object {
+        val SUCCESS_STATUSES = 200..299
         val EVICTION_INTERVAL = 10.seconds
 
         /** The limits until a configuration is known. */
@@ -256,6 +292,11 @@
          */
         val MAX_STARTUP_TIME = 1500.milliseconds
 
+        const val STOPPING = "this gateway stops"
+
+        /** Callers retry on new connections, which the platform forwards to other gateways. */
+        val STOP_RETRY_AFTER = 20.milliseconds
+
         /** The time in which a starting daemon reads the configuration. */
         val STARTUP_RETRY_AFTER = 300.milliseconds
     }
--- a/gateway/src/main/kotlin/sycamore/gateway/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/UpstreamAttempt.kt
@@ -7,6 +7,7 @@
 import sycamore.forwarding.CallUpstream
 import sycamore.forwarding.CallerExchange
 import sycamore.forwarding.ResponseEvent
+import sycamore.forwarding.SendPermit
 import sycamore.forwarding.UpstreamException
 import sycamore.forwarding.UpstreamRequest
 import sycamore.forwarding.collectWhile
@@ -52,10 +53,31 @@
     private val callUpstream: CallUpstream,
     private val onLeaving: (ListedUpstream) -> Unit,
 ) {
+    private val permit = SendPermit()
     private val buffer = ByteArrayOutputStream()
     private val events = EventBoundary()
     private var head: ResponseEvent.Head? = null
     private var rejection: AttemptResult? = null
+    private var failure: UpstreamException? = null
+
+    /** Describes this attempt, which ended with [result]; null if the caller received the complete response. */
+    fun trace(result: AttemptResult): AttemptTrace? {
+        val (outcome, detail) =
+            when (result) {
+                AttemptResult.Completed -> return null
+                is AttemptResult.NotRun -> AttemptTrace.Outcome.NOT_RUN to result.reason
+                is AttemptResult.Failed -> AttemptTrace.Outcome.FAILED to result.reason
+                is AttemptResult.Truncated -> AttemptTrace.Outcome.CUT to result.reason
+            }
+        return AttemptTrace(
+            upstream.id,
+            outcome,
+            detail,
+            status = head?.status,
+            sent = failure?.sent ?: !withdraw(),
+            connection = failure?.connection ?: head?.connection,
+        )
+    }
 
     /**
      * Sends the call. Cancels it if no part of the response could be forwarded within [timeout]. Once the response has
@@ -66,23 +88,32 @@
             val job = async { exchange() }
             val early = withTimeoutOrNull(timeout) { job.await() }
             val late = if (early == null && caller.isStarted) withTimeoutOrNull(call.timeLeft) { job.await() } else null
+            val isUnsent = withdraw()
             job.cancelAndJoin()
-            early ?: late ?: rejection ?: timeoutResult(timeout)
+            early ?: late ?: rejection ?: timeoutResult(timeout, isUnsent)
         }
 
-    private fun timeoutResult(timeout: Duration): AttemptResult =
-        if (caller.isStarted) {
-            AttemptResult.Truncated("${upstream.id} did not complete its answer in time")
-        } else {
-            AttemptResult.Failed("${upstream.id} did not answer within $timeout")
+    /** Ends the attempt if the call has not been sent. Returns whether it has not been sent and will not be. */
+    fun withdraw(): Boolean = permit.withdraw()
+
+    private fun timeoutResult(
+        timeout: Duration,
+        isUnsent: Boolean,
+    ): AttemptResult =
+        when {
+            isUnsent -> AttemptResult.NotRun("the call could not be sent to ${upstream.id} within $timeout")
+            caller.isStarted -> AttemptResult.Truncated("${upstream.id} did not complete its answer in time")
+            else -> AttemptResult.Failed("${upstream.id} did not answer within $timeout")
         }
 
     private suspend fun exchange(): AttemptResult {
         val headers = call.forwarded + CallHeaders.upstreamHeaders(upstream.id, call.timeLeft)
-        val request = UpstreamRequest(call.head.id!!, upstream.address, call.method, call.target, headers, call.body)
+        val id = call.head.id!!
+        val request = UpstreamRequest(id, upstream.address, call.method, call.target, headers, call.body, permit)
         try {
             callUpstream(request).collectWhile(::handle)
         } catch (e: UpstreamException) {
+            failure = e
             return failureResult(e)
         }
         rejection?.let { return it }
@@ -146,6 +177,8 @@
             // The caller would conclude that its call has not run.
             response.isUnconfirmedRefusal ->
                 AttemptResult.Failed("${upstream.id} answered ${response.status}, not that it did not run it")
+            response.isContradictory ->
+                AttemptResult.Failed("${upstream.id} answered ${response.status} and that it did not run it")
             response.isEncoded -> AttemptResult.Failed("${upstream.id} encoded its answer")
             response.isSuccess && !response.isStamped -> AttemptResult.Failed("${upstream.id} did not sign its answer")
             else -> null
--- a/homes/src/main/kotlin/sycamore/homes/PromptSender.kt
+++ b/homes/src/main/kotlin/sycamore/homes/PromptSender.kt
@@ -2,6 +2,7 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.FlowCollector
 import kotlinx.coroutines.flow.emitAll
 import kotlinx.coroutines.flow.flow
 import kotlinx.coroutines.flow.flowOf
@@ -16,6 +17,9 @@
 import sycamore.links.TurnRefused
 import sycamore.links.TurnSent
 import sycamore.model.Address
+import sycamore.routing.ListedUpstream
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
 import kotlin.time.TimeSource
 
 // Log lines carry this logger name, which is independent of the class name.
@@ -31,6 +35,7 @@
  * Sends prompts to engines through the gate of each engine.
  *
  * @property localEngine the address of the engine on the host of this daemon; null if it has none.
+ * @property hasLeftSince returns whether an engine has registered as leaving while a turn has waited for it.
  * @property leaving the engines that have announced that they are leaving. They get no further turns.
  */
 internal class PromptSender(
@@ -38,7 +43,8 @@
     private val gate: EngineGate,
     private val callUpstream: CallUpstream,
     private val exchange: Exchange,
-    private val time: TimeSource,
+    private val hasLeftSince: suspend (arrived: ComparableTimeMark, engine: ListedUpstream) -> Boolean,
+    private val time: TimeSource.WithComparableMarks,
     private val leaving: LeavingUpstreams = LeavingUpstreams(),
 ) {
     /**
@@ -52,12 +58,7 @@
         return when {
             call.target.address == localEngine -> sendToLocalEngine(call, prompt)
             host != null -> flow { emitAll(exchange(host, RunPrompt(call, prompt))) }
-            call.target in leaving -> refuseLeaving(call)
-            else ->
-                flow {
-                    emit(TurnSent)
-                    engineCall(call).run(prompt, call.timeLeft, this)
-                }
+            else -> flow { sendInTime(call, prompt, call.timeLeft) }
         }
     }
 
@@ -73,25 +74,51 @@
     ): Flow<Message> =
         flow {
             val arrived = time.markNow()
-            val turn = GateTurn(call.priority, call.timeLeft, call.previous != null, call.engineSlots, call.finishIn)
+            val turn =
+                GateTurn(
+                    call.priority,
+                    call.timeLeft,
+                    call.previous != null,
+                    call.engineSlots,
+                    call.finishIn,
+                    call.target,
+                )
             when (val decision = gate.awaitSlot(turn)) {
                 is SlotDecision.Refused -> emit(TurnRefused(TurnRefusal.NOT_NOW, decision.detail, decision.retryAfter))
+                // Other engines and homes can run it.
+                SlotDecision.Closed -> emit(TurnRefused(TurnRefusal.TARGET_GONE, "the engine's host is leaving"))
+                SlotDecision.EngineLeaves -> emit(leavingRefusal(call))
                 is SlotDecision.Granted ->
                     try {
-                        emit(TurnSent)
-                        engineCall(call).run(prompt, call.timeLeft - arrived.elapsedNow(), this)
+                        if (hasLeftSince(arrived, call.target)) addLeaving(call)
+                        sendInTime(call, prompt, call.timeLeft - arrived.elapsedNow())
                     } finally {
                         decision.release()
                     }
             }
         }
 
+    /** Sends [prompt] if its engine is not leaving and its caller still waits for the answer. */
+    private suspend fun FlowCollector<Message>.sendInTime(
+        call: RunTurn,
+        prompt: ByteArray,
+        timeLeft: Duration,
+    ) {
+        if (call.target in leaving) return emit(leavingRefusal(call))
+        if (timeLeft <= Duration.ZERO) return emit(TurnRefused(TurnRefusal.NOT_NOW, "the turn's time is over"))
+        emit(TurnSent)
+        engineCall(call).run(prompt, timeLeft, this)
+    }
+
     private fun engineCall(call: RunTurn) = EngineCall(callUpstream, call) { addLeaving(call) }
 
     private fun addLeaving(call: RunTurn) {
-        if (leaving.add(call.target)) log.event("upstream-leaves", "upstream" to call.target.id, "request" to call.turn)
+        if (!leaving.add(call.target)) return
+        log.event("upstream-leaves", "upstream" to call.target.id, "request" to call.turn)
+        gate.refuseWaiting { it in leaving }
     }
 
-    private fun refuseLeaving(call: RunTurn): Flow<Message> =
-        flowOf(TurnRefused(TurnRefusal.TARGET_LEAVES, "${call.target.id} leaves"))
+    private fun refuseLeaving(call: RunTurn): Flow<Message> = flowOf(leavingRefusal(call))
+
+    private fun leavingRefusal(call: RunTurn) = TurnRefused(TurnRefusal.TARGET_LEAVES, "${call.target.id} leaves")
 }
--- a/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
@@ -45,6 +45,8 @@
     private val meters: TurnMeters,
     private val time: TimeSource,
 ) {
+    private val receivedAt = time.markNow()
+
     /** Runs [call] and returns the replies to the caller. The last one is a refusal if the call cannot run here. */
     fun run(call: RunTurn): Flow<Message> =
         flow {
@@ -117,6 +119,7 @@
             "detail" to detail,
             "budget" to call.tokenBudget,
             "most" to call.mostTokens,
+            isExceptional = true,
         )
         if (reason == TurnRefusal.BUDGET_SPENT) {
             withTimeoutOrNull(SPENT_MARK_TIMEOUT) { spent.mark(call.program) }
@@ -165,7 +168,7 @@
         suspend fun run() {
             var last: Message = TurnInterrupted("the gate did not answer")
             try {
-                send(call, prompt).collect { message ->
+                send(call.copy(timeLeft = call.timeLeft - receivedAt.elapsedNow()), prompt).collect { message ->
                     if (message is TurnComplete || message is TurnInterrupted || message is TurnRefused) last = message
                     handle(message)
                 }
@@ -198,12 +201,14 @@
                 "previous" to call.previous,
                 "engine" to call.target.id,
                 "outcome" to outcome(last),
+                "refusal" to (last as? TurnRefused)?.reason,
                 "detail" to ((last as? TurnInterrupted)?.reason ?: (last as? TurnRefused)?.detail),
                 "sent_ms" to timeToSend?.inWholeMilliseconds,
                 "begun_ms" to timeToBegin?.inWholeMilliseconds,
                 "ms" to arrivedAt.elapsedNow().inWholeMilliseconds,
                 "events" to events.events,
                 "time_left_ms" to call.timeLeft.inWholeMilliseconds,
+                isExceptional = last !is TurnComplete || !isSuccess,
             )
 
         private fun outcome(last: Message): String =
--- a/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.withTimeout
 import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.daemon.homes.homeEntry
 import sycamore.homes.HomeFixture.Companion.address
@@ -34,9 +35,11 @@
 import sycamore.turns.HomeKeys
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertIs
 import kotlin.test.assertNotEquals
 import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.ZERO
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -551,6 +554,74 @@
             assertEquals("whole", fixture.sendTurn(3, "b", "a").outcome())
         }
 
+    /**
+     * Guards against lost turns when the store makes a home the successor of another one and the answer is lost: the home did not
+     * know that it had been named, and refused the turns of the other home as unknown.
+     */
+    @Test
+    fun `a home whose claim of a lost home got no answer adopts the programs of that home`() =
+        homeTest { fixture ->
+            fixture.startReady(1)
+            fixture.startReady(2)
+            assertEquals("whole", fixture.sendTurn(1, "a").outcome())
+            val lost = fixture.homeAt(1)
+            fixture.kill(address(1))
+            fixture.keys.setFaults { it.copy(delay = 100.milliseconds, lostAnswers = 1) }
+            val takeover = async { fixture.takeOver(lost, by = 2) }
+            // The claim is on its way: its answer is lost, and the entry cannot be read afterwards.
+            delay(150.milliseconds)
+            fixture.keys.setFaults { it.copy(down = true) }
+            delay(300.milliseconds)
+            assertFalse(fixture.findTurn(2, "a").isComplete)
+            fixture.keys.setFaults { it.copy(delay = ZERO, down = false) }
+            takeover.await()
+            assertEquals("whole", fixture.sendTurn(2, "b", "a").outcome())
+        }
+
+    /**
+     * Guards against lost turns when two hosts stop at the same time: one handed its programs over to the other one, whose
+     * successor had read before which homes it had to adopt.
+     */
+    @Test
+    fun `a home that was taken over takes over no other home`() =
+        homeTest { fixture ->
+            val first = fixture.startReady(1)
+            val second = fixture.startReady(2)
+            fixture.startReady(3)
+            assertEquals("whole", fixture.sendTurn(1, "a").outcome())
+            assertEquals("whole", fixture.sendTurn(2, "b", program = "q").outcome())
+            fixture.keys.setFaults { it.copy(delay = 100.milliseconds) }
+            val lost = listOf(1, 2).map { fixture.homeAt(it) }
+            val handover = async { fixture.exchange(address(3), TakeOverHome(lost[1], isVoluntary = true)).first() }
+            delay(150.milliseconds)
+            val other = async { fixture.exchange(address(2), TakeOverHome(lost[0], isVoluntary = true)).first() }
+            assertIs<HomeTakenOver>(handover.await())
+            other.await()
+            listOf(first, second).forEach { it.stop(7.seconds) }
+            (1..2).forEach { fixture.kill(address(it)) }
+            fixture.keys.setFaults { it.copy(delay = ZERO) }
+            assertEquals("whole", fixture.sendTurn(3, "c", "a").outcome())
+            assertEquals("whole", fixture.sendTurn(3, "d", "b", program = "q").outcome())
+        }
+
+    /** Guards against a daemon that serves nothing until it is restarted, since its home was taken over while it started. */
+    @Test
+    fun `a home that is taken over before it has opened its log is replaced by a new one`() =
+        homeTest { fixture ->
+            fixture.startReady(2)
+            fixture.keys.setFaults { it.copy(delay = 100.milliseconds) }
+            fixture.startHome(1)
+            // Its registration is on its way, and nothing is stored after that.
+            delay(90.milliseconds)
+            fixture.keys.setFaults { it.copy(delay = ZERO, down = true) }
+            delay(100.milliseconds)
+            fixture.keys.setFaults { it.copy(down = false) }
+            val request = TakeOverHome(fixture.homeAt(1), isVoluntary = true)
+            assertIs<HomeTakenOver>(fixture.exchange(address(2), request).first())
+            withTimeout(10.seconds) { fixture.awaitReady(1) }
+            assertEquals("whole", fixture.sendTurn(1, "a").outcome())
+        }
+
     @Test
     fun `turns are kept during an outage of the store`() =
         homeTest { fixture ->
@@ -644,7 +715,7 @@
             fixture.answerTime = 2.seconds
             val turn = async { fixture.sendTurn(1, "b", "a") }
             delay(500.milliseconds)
-            daemon.stop()
+            daemon.stop(7.seconds)
             assertEquals("whole", turn.await().outcome())
             fixture.kill(address(1))
             fixture.answerTime = 50.milliseconds
@@ -660,7 +731,7 @@
             fixture.sendTurn(1, "a")
             fixture.keys.setFaults { it.copy(delay = 100.milliseconds) }
             fixture.startHome(2)
-            leaving.stop()
+            leaving.stop(7.seconds)
             assertTrue(fixture.findTurn(2, "a").hasTurn)
         }
 
@@ -740,6 +811,62 @@
             assertEquals(setOf("a"), fixture.prompts.keys)
         }
 
+    /**
+     * Guards against a turn that is sent to an engine long after the engine has announced that it is leaving, since it waited for
+     * a slot meanwhile. Another engine could have run it.
+     */
+    @Test
+    fun `a turn that waits for an engine is refused as soon as the engine announces that it is leaving`() =
+        homeTest { fixture ->
+            fixture.startReady(1)
+            fixture.answerTime = 1.seconds
+            val running = List(2) { async { fixture.sendTurn(1, "r$it", program = "q$it") } }
+            delay(500.milliseconds)
+            val next = async { fixture.sendTurn(1, "w0", program = "s0").outcome() }
+            delay(10.milliseconds)
+            val waiting = List(3) { async { fixture.sendTurn(1, "w${it + 1}", program = "s${it + 1}").outcome() } }
+            // The answer to the next turn, which gets a slot at 1 s, announces it while the others still wait.
+            fixture.isEngineLeaving = true
+            assertEquals(List(3) { "TARGET_LEAVES" }, waiting.awaitAll())
+            assertTrue(currentTime < 1500, "refused only after $currentTime ms")
+            assertEquals(setOf("r0", "r1", "w0"), fixture.prompts.keys)
+            assertEquals(listOf("whole", "whole"), running.awaitAll().map { it.outcome() })
+            assertEquals("whole", next.await())
+        }
+
+    /**
+     * Guards against a turn that reaches an engine seconds after the engine has registered as leaving: the gateway did not know it
+     * yet when it sent the turn, and the turn then waited for a slot.
+     */
+    @Test
+    fun `a turn that has waited long is not sent to an engine that has registered as leaving meanwhile`() =
+        homeTest { fixture ->
+            fixture.startReady(1)
+            fixture.answerTime = 1.5.seconds
+            val running = List(2) { async { fixture.sendTurn(1, "r$it", program = "q$it") } }
+            delay(100.milliseconds)
+            val waiting = List(2) { async { fixture.sendTurn(1, "w$it", program = "s$it").outcome() } }
+            fixture.registerEngine(1, state = "draining")
+            assertEquals(List(2) { "TARGET_LEAVES" }, waiting.awaitAll())
+            assertEquals(listOf("whole", "whole"), running.awaitAll().map { it.outcome() })
+            assertEquals(setOf("r0", "r1"), fixture.prompts.keys)
+        }
+
+    /**
+     * Guards against turns that are sent to a leaving engine by a gateway that knows its last start, while the gateway that received
+     * the announcement knew only the start before.
+     */
+    @Test
+    fun `an engine that is leaving gets no turn from a gateway that knows another start of it`() =
+        homeTest { fixture ->
+            fixture.startReady(1)
+            fixture.isEngineLeaving = true
+            assertEquals("whole", fixture.sendTurn(1, "a").outcome())
+            val call = fixture.runTurnMessage(1, "b", "a")
+            val other = call.copy(target = call.target.copy(bornMillis = 2))
+            assertEquals("TARGET_LEAVES", fixture.exchange(address(1), other).toList().outcome())
+        }
+
     @Test
     fun `an engine that is restarted under the same id gets turns again`() =
         homeTest { fixture ->
@@ -747,7 +874,7 @@
             fixture.isEngineLeaving = true
             assertEquals("whole", fixture.sendTurn(1, "a").outcome())
             val call = fixture.runTurnMessage(1, "b", "a")
-            val again = call.copy(target = call.target.copy(bornMillis = 2))
+            val again = call.copy(target = call.target.copy(bornMillis = LATER_START_MILLIS))
             assertEquals("whole", fixture.exchange(address(1), again).toList().outcome())
         }
 
@@ -772,7 +899,7 @@
             fixture.isFull = false
             fixture.isEngineLeaving = false
             val call = fixture.runTurnMessage(1, "a", budget = 100)
-            val other = call.copy(target = call.target.copy(bornMillis = 2))
+            val other = call.copy(target = call.target.copy(bornMillis = LATER_START_MILLIS))
             assertEquals("whole", fixture.exchange(address(1), other).toList().outcome())
             val lost = fixture.homeAt(1)
             fixture.startReady(2)
@@ -824,6 +951,9 @@
         }
 
     private companion object {
+        /** The time of a start in milliseconds since 1970 that is after any announcement in a test. */
+        const val LATER_START_MILLIS = 4_000_000_000_000
+
         /** Enough for each of three homes to own the program's part of the directory in some runs. */
         const val OWNER_DRAWS = 40
     }
--- a/soak/src/main/kotlin/sycamore/soak/Caller.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Caller.kt
@@ -18,7 +18,9 @@
     seed: Long,
     private val deployment: Deployment,
     private val observations: Observations,
+    private val plan: SoakPlan,
 ) {
+    private val mix = MIX.filter { it in plan.kinds }
     private val random = Random(seed)
     private var gateway: Daemon = deployment.gateways.random(random)
     private var connection: CallerConnection? = null
@@ -33,24 +35,27 @@
     suspend fun run() {
         try {
             while (currentCoroutineContext().isActive) {
-                when (random.nextInt(KINDS)) {
-                    0 -> call(CallKind.REPEATABLE)
-                    1, 2 -> call(CallKind.ONCE)
-                    else -> program()
+                when (val kind = mix.random(random)) {
+                    CallKind.TURN -> program()
+                    else -> call(kind)
                 }
-                delay(random.nextLong(MAX_PAUSE_MILLIS).milliseconds)
+                pause()
             }
         } finally {
             connection?.close()
         }
     }
 
+    private suspend fun pause() {
+        if (plan.maxPause > Duration.ZERO) delay(random.nextLong(plan.maxPause.inWholeMilliseconds).milliseconds)
+    }
+
     /** Sends one plain call, with further attempts where they are allowed. Returns whether it succeeded. */
     suspend fun call(kind: CallKind): Boolean {
         val body = "body of $number.${sent + 1} " + "y".repeat(random.nextInt(MAX_BODY_BYTES))
         repeat(MAX_ATTEMPTS) {
             val attempt = attempt(kind, body)
-            val (response, isServed) = send(attempt, SampleDocuments.callHeaders(attempt.id))
+            val (response, isServed) = send(attempt, SampleDocuments.callHeaders(attempt.id, plan.deadline))
             val status = response?.head?.status ?: 0
             if (isServed) return true
             if (kind != CallKind.REPEATABLE && status !in kind.promises) return false
@@ -73,7 +78,7 @@
             val turn = turn(account, previous) ?: return
             done += turn
             lastTurn = turn
-            delay(random.nextLong(MAX_PAUSE_MILLIS).milliseconds)
+            pause()
         }
     }
 
@@ -85,7 +90,14 @@
         val input = "input ${account.program}.${sent + 1};" + "z".repeat(random.nextInt(MAX_BODY_BYTES))
         repeat(MAX_ATTEMPTS) {
             val attempt = attempt(CallKind.TURN, previous?.chain.orEmpty() + input)
-            val headers = SampleDocuments.turnHeaders(attempt.id, account.program, previous?.id, account.budget)
+            val headers =
+                SampleDocuments.turnHeaders(
+                    attempt.id,
+                    account.program,
+                    previous?.id,
+                    account.budget,
+                    plan.deadline,
+                )
             val (response, isServed) = send(attempt, headers, input)
             val status = response?.head?.status ?: 0
             val data = if (response != null && status in SUCCESSES) dataOf(response.body) else emptyList()
@@ -126,7 +138,13 @@
         if (open.hasUnrequestedBytes) {
             observations.report(Rule.MIXED, attempt.id, "${gateway.name} sent bytes that no request asked for")
         }
-        val result = open.call(attempt.path, listOf("Host" to Deployment.HOST) + headers, body, TIMEOUT)
+        val result =
+            open.call(
+                attempt.path,
+                listOf("Host" to Deployment.HOST) + headers,
+                body,
+                plan.deadline + ANSWER_TIME,
+            )
         val isServed = observations.recordResponse(attempt, result.response, result.isTimeout)
         if (!open.isReusable) disconnect()
         return result.response to isServed
@@ -156,7 +174,12 @@
 
         /** Statuses after which no attempt follows. */
         val FINAL = setOf(400, 401, 403, 404, 410, 413, 431)
-        const val KINDS = 6
+
+        /** Each kind as often as it is sent. */
+        val MIX =
+            listOf(CallKind.REPEATABLE) + List(CALLS_ONCE) { CallKind.ONCE } + List(PROGRAMS) { CallKind.TURN }
+        const val CALLS_ONCE = 2
+        const val PROGRAMS = 3
         const val MAX_ATTEMPTS = 4
         const val MAX_TURNS = 6
         const val BRANCH_ONE_IN = 6
@@ -164,12 +187,11 @@
         const val SMALL_BUDGET = 150L
         const val LARGE_BUDGET = 100_000L
         const val MAX_BODY_BYTES = 2_000
-        const val MAX_PAUSE_MILLIS = 60L
         val RETRY_DELAY = 100.milliseconds
         val CONNECT_TIMEOUT = 1.seconds
 
-        /** The deadline that [SampleDocuments] gives a call, and some time for its answer. */
-        val TIMEOUT: Duration = 5_500.milliseconds
+        /** The time after the deadline in which the answer may arrive. */
+        val ANSWER_TIME = 500.milliseconds
 
         fun dataOf(stream: ByteArray): List<String> =
             stream
--- a/soak/src/main/kotlin/sycamore/soak/SoakPlan.kt
+++ b/soak/src/main/kotlin/sycamore/soak/SoakPlan.kt
@@ -2,13 +2,25 @@
 
 import java.io.File
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * The size and the seed of one run.
  *
  * @property seed determines the choice of faults, targets and calls. Their times also depend on the machine.
  * @property length the time during which faults are injected.
- * @property hosts the number of gateways, and of homes with an engine each.
+ * @property hosts the number of gateways.
+ * @property homes the number of homes with an engine each.
+ * @property plainUpstreams the number of plain upstreams.
+ * @property callersPerHost the number of callers for each gateway.
+ * @property kinds the kinds of calls that are sent.
+ * @property deadline the time that callers wait for an answer.
+ * @property roles the daemons that faults affect.
+ * @property isSequential whether each fault ends before the next one begins.
+ * @property maxGap the longest time between the beginnings of two faults.
+ * @property maxPause the longest time between the answer to a caller and its next call.
+ * @property limits what each upstream takes.
  * @property classPath the class path with the daemons to test.
  * @property folder the folder for settings, data, logs and violations.
  */
@@ -19,15 +31,25 @@
     val classPath: String,
     val folder: File,
     val upstreamFaults: List<UpstreamFault> = UpstreamFault.entries,
-    val outsideFaults: List<OutsideFault> = OutsideFault.entries,
+    val outsideFaults: List<OutsideFault> = OutsideFault.entries - OutsideFault.LEAVE,
+    val kinds: List<CallKind> = CallKind.entries,
+    val homes: Int = if (CallKind.TURN in kinds) hosts else 0,
+    val plainUpstreams: Int = hosts,
+    val callersPerHost: Int = CALLERS_PER_HOST,
+    val limits: UpstreamLimits = UpstreamLimits(),
+    val deadline: Duration = 5.seconds,
+    val roles: List<Role> = Role.entries,
+    val isSequential: Boolean = false,
+    val maxGap: Duration = 1_500.milliseconds,
+    val maxPause: Duration = 60.milliseconds,
 ) {
-    val retainers: Int get() = maxOf(MIN_RETAINERS, hosts / HOSTS_PER_RETAINER)
+    val retainers: Int get() = if (homes == 0) 0 else maxOf(MIN_RETAINERS, homes / HOSTS_PER_RETAINER)
 
-    val callers: Int get() = hosts * CALLERS_PER_HOST
+    val callers: Int get() = hosts * callersPerHost
 
-    private companion object {
-        const val MIN_RETAINERS = 3
-        const val HOSTS_PER_RETAINER = 4
+    companion object {
+        private const val MIN_RETAINERS = 3
+        private const val HOSTS_PER_RETAINER = 4
         const val CALLERS_PER_HOST = 6
     }
 }
--- a/soak/src/main/kotlin/sycamore/soak/Upstream.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Upstream.kt
@@ -1,7 +1,9 @@
 package sycamore.soak
 
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.model.Address
 import sycamore.platform.Header
 import sycamore.platform.SampleDocuments
@@ -10,43 +12,78 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.net.SocketException
+import java.net.SocketTimeoutException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
 /**
  * An upstream on bare sockets that injects faults into its answers.
  *
- * @property address the address at which it accepts connections.
+ * @param address the address at which it accepts connections.
  * @param seed determines which exchanges are faulty, in their order, and what its answers contain.
  */
 internal class Upstream(
     private val name: String,
-    val address: Address,
+    address: Address,
     val isEngine: Boolean,
+    private val limits: UpstreamLimits,
     seed: Long,
     private val observations: Observations,
+    private val counts: UpstreamCounts,
     private val scope: CoroutineScope,
 ) {
     private val random = Random(seed)
-    private val listener = ServerSocket(address.port, BACKLOG, InetAddress.getByName(address.ip))
+
+    @Volatile
+    private var listener = listen(address)
+
+    /** The address at which it accepts connections. */
+    @Volatile
+    var address: Address = address
+        private set
+
+    /** What the store says of this upstream. */
+    @Volatile
+    var registration = Registration.READY
+
+    /** Whether answers announce that this upstream leaves. */
+    @Volatile
+    var isLeaving = false
+
+    /** The time of the last start under the present id, as this upstream states it. */
+    @Volatile
+    var bornMillis = 1L
+        private set
     private val sockets: MutableSet<Socket> = ConcurrentHashMap.newKeySet()
     private val busy = AtomicInteger()
     private val restarts = AtomicInteger()
+    private val accepted = AtomicInteger()
 
     /** The faults that may occur, and the share of exchanges that have one. */
     @Volatile
     var faults: List<UpstreamFault> = emptyList()
 
+    /** What tells this start of the upstream from others under the same id. */
+    val start: String get() = "$id/$bornMillis"
+
     /** The id under which this upstream is registered. It changes at a restart. */
     val id: String get() = "$name-${restarts.get()}"
 
     /** Serves connections until the scope is cancelled. */
     fun start() {
+        val listener = listener
         scope.launch {
             while (!listener.isClosed) {
-                val socket = accept() ?: break
+                val socket = accept(listener) ?: break
+                if (sockets.size >= limits.connections) {
+                    counts.connectionsReset.incrementAndGet()
+                    reset(socket)
+                    continue
+                }
                 sockets += socket
                 scope.launch { socket.use { UpstreamConnection(it).serve() } }
             }
@@ -54,7 +91,7 @@
     }
 
     /** Accepts the next connection; null after [close]. */
-    private fun accept(): Socket? =
+    private fun accept(listener: ServerSocket): Socket? =
         try {
             listener.accept()
         } catch (e: SocketException) {
@@ -74,9 +111,38 @@
         sockets.forEach(Socket::close)
     }
 
+    /** Accepts no more connections, and closes those that are open when no call runs. */
+    suspend fun leave() {
+        listener.close()
+        withTimeoutOrNull(limits.work + LEAVING_TIME) { while (busy.get() > 0) delay(POLL_INTERVAL) }
+        observations.recordEnd(start)
+        sockets.forEach(Socket::close)
+        sockets.clear()
+    }
+
+    /** Starts at [address] as another upstream, or as a new start under the same id if [hasSameId]. */
+    fun startAgain(
+        address: Address,
+        hasSameId: Boolean,
+    ) {
+        this.address = address
+        if (hasSameId) bornMillis++ else restarts.incrementAndGet()
+        isLeaving = false
+        registration = Registration.READY
+        listener = listen(address)
+        start()
+    }
+
+    private fun listen(address: Address) = ServerSocket(address.port, BACKLOG, InetAddress.getByName(address.ip))
+
+    private fun reset(socket: Socket) {
+        socket.setSoLinger(true, 0)
+        socket.close()
+    }
+
     /** Chooses the fault of the next exchange. */
     private fun nextFault(): UpstreamFault? =
-        synchronized(random) { if (random.nextDouble() < FAULTY_SHARE) faults.randomOrNull(random) else null }
+        synchronized(random) { if (random.nextDouble() < limits.faultyShare) faults.randomOrNull(random) else null }
 
     private fun nextBody(id: String): ByteArray =
         synchronized(random) {
@@ -95,6 +161,8 @@
     ) {
         private val wire = HttpWire(socket.getInputStream().buffered())
         private val output = socket.getOutputStream()
+        private val connection = accepted.incrementAndGet()
+        private var requests = 0
         private var isClean = true
 
         /** Bytes of an earlier answer that are written again after the next request. */
@@ -102,12 +170,17 @@
 
         fun serve() {
             try {
+                limits.idleTimeout?.let { socket.soTimeout = it.inWholeMilliseconds.toInt() }
                 while (true) {
                     val (head, body) = wire.readRequest() ?: return
+                    counts.received.incrementAndGet()
+                    requests++
                     repeated?.let(output::write)
                     repeated = null
                     if (!exchange(head, body)) return
                 }
+            } catch (_: SocketTimeoutException) {
+                counts.idleClosed.incrementAndGet()
             } catch (_: IOException) {
                 // The caller left, or this upstream was restarted.
             } finally {
@@ -123,16 +196,19 @@
             val request = SampleDocuments.requestId(head.headers) ?: return refuse(head, BAD_REQUEST)
             val expected = SampleDocuments.expectedUpstream(head.headers)
             if (expected != null && expected != id) return refuse(head, MISDIRECTED)
-            if (busy.get() >= SLOTS) return refuse(head, UNAVAILABLE)
             val fault = nextFault()
             if (fault?.isRefusal == true) return refuseWith(fault, head)
+            if (busy.get() >= limits.slots) return refuse(head, UNAVAILABLE)
             val answer = nextBody(request)
-            val run = Run(id, answer, fault, isClean, TimeSource.Monotonic.markNow())
+            val run = Run(start, answer, fault, isClean, TimeSource.Monotonic.markNow(), isLeaving)
+            if (run.isLeaving) counts.leavingAnnounced.incrementAndGet()
             busy.incrementAndGet()
+            recordReceipt(request, "run")
             try {
                 observations.recordRun(request, head.startLine.split(' ')[1], body.decodeToString(), run)
                 return answer(head, run)
             } finally {
+                run.end = TimeSource.Monotonic.markNow()
                 busy.decrementAndGet()
                 if (fault != null) isClean = false
             }
@@ -145,6 +221,7 @@
             val status = if (fault == UpstreamFault.MISDIRECTED) MISDIRECTED else UNAVAILABLE
             val bytes = refusal(head, status)
             output.write(bytes)
+            if (fault.isRepeatedRefusal) counts.repeatedRefusals.incrementAndGet()
             if (fault == UpstreamFault.REFUSAL_TWICE) output.write(bytes)
             if (fault == UpstreamFault.REFUSAL_TWICE_LATE) repeated = bytes
             if (fault != UpstreamFault.FULL) isClean = false
@@ -163,16 +240,29 @@
             head: MessageHead,
             status: Int,
         ): ByteArray {
-            val headers = SampleDocuments.answerHeaders(head.headers) + SampleDocuments.notRunHeader
+            counts.refused.incrementAndGet()
+            SampleDocuments.requestId(head.headers)?.let { recordReceipt(it, "$status") }
+            val headers = headersOf(head, isLeaving) + SampleDocuments.notRunHeader
             return HttpWire.encode("HTTP/1.1 $status Refused", headers + ("Content-Length" to "0"), ByteArray(0))
         }
 
+        private fun headersOf(
+            head: MessageHead,
+            isLeaving: Boolean,
+        ) = SampleDocuments.answerHeaders(head.headers) +
+            listOfNotNull(SampleDocuments.leavingHeader.takeIf { isLeaving })
+
+        private fun recordReceipt(
+            request: String,
+            outcome: String,
+        ) = observations.recordReceipt(request, start, "$address", connection, requests, outcome)
+
         private fun answer(
             head: MessageHead,
             run: Run,
         ): Boolean {
             val type = "Content-Type" to if (isEngine) "text/event-stream" else "text/plain"
-            val headers = SampleDocuments.answerHeaders(head.headers) + type
+            val headers = headersOf(head, run.isLeaving) + type
             when (run.fault) {
                 UpstreamFault.UNFRAMED, UpstreamFault.UNFRAMED_RESET, UpstreamFault.BODY_CUT -> unframed(headers, run)
                 UpstreamFault.HEAD_CUT, UpstreamFault.HEAD_RESET -> cutHead(headers, run)
@@ -197,13 +287,14 @@
                     .split("\n\n")
                     .filter { it.isNotEmpty() }) {
                     pause()
+                    work(MAX_EVENTS)
                     val chunk = "$event\n\n"
                     output.write("${chunk.length.toString(HEXADECIMAL)}\r\n$chunk\r\n".encodeToByteArray())
                 }
                 run.isWritten = true
                 output.write("0\r\n\r\n".encodeToByteArray())
             } else {
-                pause()
+                work(parts = 1)
                 run.isWritten = true
                 output.write(framed(headers, run))
             }
@@ -254,17 +345,22 @@
         private fun reset() {
             output.flush()
             Thread.sleep(RESET_DELAY_MILLIS)
-            socket.setSoLinger(true, 0)
-            socket.close()
+            reset(socket)
         }
 
+        /** Works for one of [parts] of a call. */
+        private fun work(parts: Int) =
+            Thread.sleep(synchronized(random) { random.nextLong(1 + limits.work.inWholeMilliseconds / parts) })
+
         private fun pause() = Thread.sleep(synchronized(random) { random.nextLong(MAX_PAUSE_MILLIS) })
     }
 
     companion object {
-        const val SLOTS = 8
-        private const val FAULTY_SHARE = 0.15
         private const val BACKLOG = 256
+        private val POLL_INTERVAL = 5.milliseconds
+
+        /** The time for calls that are late because the machine is busy. */
+        private val LEAVING_TIME = 2.seconds
         private const val HEXADECIMAL = 16
         const val MAX_EVENTS = 12
         private const val SMALL_BYTES = 4_000
