--- a/review/standins/LargeOutage.java
+++ b/review/standins/LargeOutage.java
@@ -8,7 +8,7 @@
  */
 final class LargeOutage {
     private static final int CLIENTS = 16;
-    private static final int INPUT_BYTES = 150_000;
+    private static final int INPUT_BYTES = 250_000;
     private static final long OUTAGE_MS = 9000;
     private static final int TRIES = 6;
 
