--- a/review/standins/LargeOutage.java
+++ b/review/standins/LargeOutage.java
@@ -10,7 +10,9 @@
     private static final int CLIENTS = 16;
     private static final int INPUT_BYTES = 250_000;
     private static final long OUTAGE_MS = 9000;
+    /** A client sends each turn up to three times, with one retry each. */
     private static final int TRIES = 6;
+    private static final long RETRY_MS = 300;
 
     public static void main(String[] args) throws Exception {
         Fleet fleet = new Fleet(Path.of(args[0]));
@@ -33,7 +35,7 @@
             clients.add(pool.submit(() -> {
                 while (fleet.nowMs() < end - 700) {
                     Program p = new Program(fleet, 1_000_000);
-                    if (p.turn(gateway, "x".repeat(INPUT_BYTES))) programs.add(p);
+                    if (p.turn(gateway, Program.photo(INPUT_BYTES))) programs.add(p);
                 }
             }));
         }
@@ -62,7 +64,7 @@
                 firsts[0]++;
                 if (new Program(fleet, 1000).turn(fleet.gateways.get(k % 2), "new;")) firsts[1]++;
             }
-            Thread.sleep(1000);
+            Thread.sleep(RETRY_MS);
         }
         Set<String> ran = new HashSet<>();
         fleet.engines.forEach(e -> e.runs.forEach(r -> ran.add(r.id())));
--- a/review/standins/LargeTurn.java
+++ b/review/standins/LargeTurn.java
@@ -24,7 +24,7 @@
         Thread.sleep(4000);
 
         Program large = new Program(fleet, 1_000_000);
-        boolean isWhole = large.turn(fleet.gateways.get(1), Fleet.TROUBLE ? photo() : "a small input;");
+        boolean isWhole = large.turn(fleet.gateways.get(1), Fleet.TROUBLE ? Program.photo(LARGE_BYTES) : "a small input;");
         fleet.record("the turn of the client with the " + (Fleet.TROUBLE ? "large" : "small") + " body was " + (isWhole ? "answered whole" : "not answered whole"));
         long end = fleet.nowMs() + WATCH_MS;
         int sent = 0;
@@ -55,11 +55,4 @@
             + " machines the process ended by itself three times or more; " + stuck + " of " + PROGRAMS
             + " programs had five turns or more in a row that were not answered whole; " + whole + " of " + sent + " turns were");
     }
-
-    /** A text such as a photo in base64 makes: it does not compress below three quarters of its size. */
-    private static String photo() {
-        byte[] bytes = new byte[LARGE_BYTES / 4 * 3];
-        new Random(39).nextBytes(bytes);
-        return "{\"photo\":\"" + Base64.getEncoder().encodeToString(bytes) + "\"}";
-    }
 }
--- a/review/standins/Program.java
+++ b/review/standins/Program.java
@@ -71,6 +71,13 @@
         return isWhole;
     }
 
+    /** An input with a photo in base64, which does not compress below three quarters of its size. */
+    static String photo(int bytes) {
+        byte[] image = new byte[bytes / 4 * 3];
+        new Random(39).nextBytes(image);
+        return "{\"photo\":\"" + Base64.getEncoder().encodeToString(image) + "\"}";
+    }
+
     /** The data of the events of a stream. */
     static List<String> data(byte[] body) {
         List<String> data = new ArrayList<>();
--- a/review/standins/RetiredRetainer.java
+++ b/review/standins/RetiredRetainer.java
@@ -10,7 +10,9 @@
 final class RetiredRetainer {
     private static final int PROGRAMS = 24;
     private static final long TURNED_AWAY_MS = 9000;
+    /** A client sends each turn up to three times, with one retry each. */
     private static final int TRIES = 6;
+    private static final long RETRY_MS = 300;
 
     public static void main(String[] args) throws Exception {
         Fleet fleet = new Fleet(Path.of(args[0]));
@@ -78,7 +80,7 @@
                 firsts++;
                 if (new Program(fleet, 1000).turn(fleet.gateways.get(k % 2), "new;")) firstsWhole++;
             }
-            Thread.sleep(1000);
+            Thread.sleep(RETRY_MS);
         }
         Set<String> ran = new HashSet<>();
         fleet.engines.forEach(e -> e.runs.forEach(r -> ran.add(r.id())));
