Refuse turns whose chain is not complete, and adopt all logs of a takeover at once

What callers saw: UNASKED.

Cause: a home that takes over a home which had claimed others adopts several logs. It adopted them one by one, the newest first and record by record, while it served. Retainers do not keep adopted records, so the newest log holds turns whose predecessors are only in an older one. Such a turn counted as complete, and the walk over its chain ended silently at the unknown turn. On a related path, a successor registered a program of a home that it had claimed before it had read the program's turns, and counted the budget from nothing. A search for a turn read the state of takeovers after the table, so that a takeover that ended in between looked like a missing turn (by reading, not seen).

Fix: the logs of a takeover are merged, oldest first, and take effect in one step for each program. A turn is admitted only if its chain reaches its first turn, else refused as not run. A program that the directory knew before is accepted only when no claimed home is left to be adopted.

--- a/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
@@ -189,6 +189,7 @@
             exchange,
             homes,
             ::isComplete,
+            { takeovers.isAdopting },
             ::takeOverIfLost,
             time,
         )
@@ -223,8 +224,12 @@
     private fun gateStatus(): GateStatus =
         GateStatus(home.id, home.isReady && !isLeaving, gate.running, gate.waiting, gate.expectedWait)
 
-    private fun findTurn(message: FindTurn): TurnFound =
-        home.let { TurnFound(it.id, it.table.programOfCompleteTurn(message.turn) != null, isComplete(it)) }
+    private fun findTurn(message: FindTurn): TurnFound {
+        val home = home
+        // Checked before the search: a takeover that ends during the search may have added the turn.
+        val isComplete = isComplete(home)
+        return TurnFound(home.id, home.table.programOfCompleteTurn(message.turn) != null, isComplete)
+    }
 
     /** Whether [home] has adopted all programs of the homes that it takes over. */
     private fun isComplete(home: TurnHome): Boolean = home.isReady && !takeovers.hasPending
--- a/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
@@ -79,8 +79,11 @@
     @Volatile
     private var hasFormerHomes = true
 
+    /** Whether this home has claimed homes, or is claiming them, whose programs it has not adopted yet. */
+    val isAdopting: Boolean get() = claimCount.get() > 0
+
     /** Whether there are takeovers by this home whose programs it has not adopted yet. */
-    val hasPending: Boolean get() = hasFormerHomes || claimCount.get() > 0
+    val hasPending: Boolean get() = hasFormerHomes || isAdopting
 
     /** Takes over the home that [request] names, unless it is serving or another home has taken it over. */
     suspend fun takeOver(request: TakeOverHome): Message {
@@ -283,11 +286,18 @@
             unvisited += entries.filter { it.successor == next && !it.isMerged }.map { it.home }
         }
         val startedAt = time.markNow()
-        val logs = claimed.map { logSealer.seal(it, home.id) ?: return postpone("the log cannot be read", it) }
+        // The oldest come first, so that this home's own log has the turns of a program in their order.
+        val logs =
+            claimed.reversed().map {
+                logSealer.seal(
+                    it,
+                    home.id,
+                ) ?: return postpone("the log cannot be read", it)
+            }
         val read = startedAt.elapsedNow()
         val retained = logs.map { collect(it) ?: return postpone("too few retainers respond", it.home) }
         val collected = startedAt.elapsedNow()
-        logs.zip(retained).forEach { (committed, kept) -> home.adopt(committed.recordsWith(kept)) }
+        home.adopt(logs.zip(retained) { committed, kept -> committed.recordsWith(kept) })
         log.event(
             "home-read",
             "homes" to claimed,
--- a/homes/src/main/kotlin/sycamore/homes/ProgramAssignments.kt
+++ b/homes/src/main/kotlin/sycamore/homes/ProgramAssignments.kt
@@ -60,6 +60,7 @@
  * be read. Its next turn waits until the directory has confirmed its home. The budget of a program is therefore exceeded by at most one turn. If another home turns out to serve the
  * program, the tokens of that turn are counted there.
  *
+ * @param isAdopting whether this home has claimed homes whose programs it has not adopted yet.
  * @param background runs work that continues after the end of a turn, until the home ends.
  */
 internal class ProgramAssignments(
@@ -70,6 +71,7 @@
     private val spent: SpentPrograms,
     private val exchange: Exchange,
     private val time: TimeSource,
+    private val isAdopting: () -> Boolean,
     private val background: (suspend () -> Unit) -> Unit,
     private val onUnresponsive: (HomeEndpoint) -> Unit,
 ) {
@@ -201,6 +203,8 @@
         val isHere = answer.home?.home == self.home
         return when {
             answer.isTentative -> acceptsTentative
+            // The directory names the successor of a home as soon as that home is claimed.
+            isHere && answer.wasRegistered && isAdopting() -> false
             else -> !isHere || registrations.recordRegistration(program, owner)
         }
     }
--- a/homes/src/main/kotlin/sycamore/homes/ProgramDirectory.kt
+++ b/homes/src/main/kotlin/sycamore/homes/ProgramDirectory.kt
@@ -104,7 +104,7 @@
             val partition = partitions[ProgramPartitions.partitionOf(program.value)]
             val known = partition?.programs?.get(program)?.let(homes.view::currentHome)
             when {
-                known != null -> ProgramLocation(known)
+                known != null -> ProgramLocation(known, wasRegistered = true)
                 partition?.isComplete == true -> {
                     partition.programs[program] = message.home
                     ProgramLocation(message.home)
--- a/homes/src/main/kotlin/sycamore/homes/TurnHome.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnHome.kt
@@ -58,6 +58,7 @@
     private val exchange: Exchange,
     homes: HomeList,
     isComplete: (TurnHome) -> Boolean,
+    isAdopting: () -> Boolean,
     onUnresponsive: (HomeEndpoint) -> Unit,
     time: TimeSource.WithComparableMarks,
 ) {
@@ -83,6 +84,7 @@
             spent,
             exchange,
             time,
+            isAdopting,
             { background.launch("registering a program", it) },
             onUnresponsive,
         )
@@ -149,15 +151,18 @@
     }
 
     /**
-     * Adopts the programs in the [log] of a home that was taken over. Its turns in progress count as broken, with all
+     * Adopts the programs in [logs], those of a home that was taken over and of the homes that it had claimed, oldest first. A
+     * program may have records in several of them, which take effect together. Turns in progress count as broken, with all
      * tokens that they had reserved.
      */
-    fun adopt(log: List<LogRecord>) {
-        val records = log.map { TurnRecords.decode(it.bytes) }
+    fun adopt(logs: List<List<LogRecord>>) {
+        val encoded = logs.flatten().map { it.bytes }
+        val records = encoded.map(TurnRecords::decode)
         val broken = openTurns(records).map { TurnBroken(it.program, it.turn, it.reserved) }
-        (records + broken).forEach(table::apply)
+        table.applyAll(records + broken)
+        // A program that is registered here is served at once, so its turns have to be known before.
         registrations.adopt(records)
-        journal.appendAdopted(log.map { it.bytes })
+        journal.appendAdopted(encoded)
         broken.forEach(journal::append)
         val condensedTurns = records.filterIsInstance<TurnsCounted>().sumOf { it.turns.size }
         val completeTurns = records.count { it is TurnFinished } + condensedTurns
--- a/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
@@ -92,6 +92,8 @@
             )
         when (val start = home.table.start(request, base)) {
             is TurnStart.Admitted -> RunningTurn(call, start.record, promptOf(call), this).run()
+            TurnStart.IncompleteHistory ->
+                refuse(call, TurnRefusal.NOT_NOW, "turns before ${call.previous} are missing", retryAfter = RETRY_AFTER)
             is TurnStart.BudgetSpent ->
                 refuse(call, TurnRefusal.BUDGET_SPENT, "the budget holds ${start.left} more tokens")
             TurnStart.NoSuchTurn -> refuse(call, TurnRefusal.NO_SUCH_TURN, "no turn ${call.previous} is kept")
@@ -100,7 +102,11 @@
     }
 
     private fun promptOf(call: RunTurn): ByteArray =
-        if (call.keepsHistory) home.table.prompt(call.program, call.turn) else call.input
+        if (call.keepsHistory) {
+            checkNotNull(home.table.prompt(call.program, call.turn)) { "turns before ${call.turn} are missing" }
+        } else {
+            call.input
+        }
 
     private suspend fun FlowCollector<Message>.refuse(
         call: RunTurn,
--- a/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
@@ -537,6 +537,40 @@
         assertTrue(outcomes.count { it == "whole" } <= 1, "$outcomes")
     }
 
+    /**
+     * Guards against an exceeded budget: a home that had claimed a lost home served the programs of that home before it had read
+     * their turns, and gave them their budgets again.
+     */
+    @Test
+    fun `a program of a lost home gets no second budget while its successor reads the log`() =
+        homeTest { fixture ->
+            (1..2).forEach { fixture.startReady(it) }
+            val programs = (1..20).map { "q$it" }
+            for (program in programs) {
+                listOf("a", "b", "c").forEach {
+                    assertEquals("whole", fixture.sendTurn(1, program + it, program = program, budget = 100).outcome())
+                }
+            }
+            val lost = fixture.homeAt(1)
+            fixture.kill(address(1))
+            val retainers = fixture.retainers.map { it.self.address }.toSet()
+            fixture.unreachable += retainers
+            val takeover = async { fixture.takeOver(lost, by = 2) }
+            delay(500.milliseconds)
+            val outcomes =
+                programs.map { program ->
+                    listOf("d", "e", "f").map {
+                        async { fixture.sendTurn(2, program + it, program = program, budget = 100).outcome() }
+                    }
+                }
+            val complete = outcomes.map { it.awaitAll() }
+            fixture.unreachable -= retainers
+            assertIs<HomeTakenOver>(takeover.await())
+            assertTrue(complete.all { turns -> turns.count { it == "whole" } <= 1 }, "$complete")
+            val after = programs.map { fixture.sendTurn(2, it + "g", program = it, budget = 100).outcome() }
+            assertTrue(after.all { it == "BUDGET_SPENT" }, "$after")
+        }
+
     /** Guards against lost turns when a home is killed before it has merged another one: its successor has to recover both. */
     @Test
     fun `the last successor recovers a chain of lost homes`() =
--- a/homes/src/test/kotlin/sycamore/homes/ProgramDirectoryModelTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/ProgramDirectoryModelTest.kt
@@ -149,6 +149,7 @@
                 SpentPrograms(keys, scope),
                 exchange,
                 run.time,
+                { !isComplete },
                 { work -> scope.launch { work() } },
             ) { }
 
--- a/links/src/main/kotlin/sycamore/links/DirectoryMessage.kt
+++ b/links/src/main/kotlin/sycamore/links/DirectoryMessage.kt
@@ -37,12 +37,14 @@
  * @property home the home that serves the program; null if none does.
  * @property isTentative whether another home may turn out to serve the program, since not all homes have reported their
  * programs of its partition yet.
+ * @property wasRegistered whether the program had a home before this request to register it.
  */
 @Serializable
 @SerialName("at")
 data class ProgramLocation(
     val home: HomeEndpoint?,
     val isTentative: Boolean = false,
+    val wasRegistered: Boolean = false,
 ) : LastReply
 
 /**
--- a/turns/src/main/kotlin/sycamore/turns/ProgramTurns.kt
+++ b/turns/src/main/kotlin/sycamore/turns/ProgramTurns.kt
@@ -24,6 +24,12 @@
     /** The turn to continue is unknown to this home, or has no complete answer. */
     data object NoSuchTurn : TurnStart
 
+    /**
+     * The chain of the turn to continue does not reach its first turn: records of earlier turns have not arrived. The turn has not
+     * run.
+     */
+    data object IncompleteHistory : TurnStart
+
     /** A turn with this id was started before. */
     data object Repeated : TurnStart
 }
@@ -101,6 +107,7 @@
         return when {
             request.turn in turns -> TurnStart.Repeated
             previous != null && base == null && !isComplete(previous) -> TurnStart.NoSuchTurn
+            previous != null && base == null && !hasWholeChain(previous) -> TurnStart.IncompleteHistory
             left != null && request.maxTokens > left -> TurnStart.BudgetSpent(left.coerceAtLeast(0))
             else -> {
                 val record =
@@ -183,31 +190,41 @@
 
     /**
      * The prompt that an engine receives for [turn]: input and output of each earlier turn in its chain, then its own
-     * input.
+     * input. Null if a turn of the chain is unknown or has no complete answer.
      */
-    fun prompt(turn: AttemptId): ByteArray {
+    fun prompt(turn: AttemptId): ByteArray? {
         val parts = ArrayDeque<ByteArray>()
-        var next = turns[turn]
-        next?.let { parts.addFirst(it.input) }
-        while (next != null) {
-            next.base?.let { parts.addFirst(it) }
-            val previous = if (next.base == null) next.previous?.let(turns::get) else null
-            if (previous != null) {
-                previous.output?.let { parts.addFirst(it) }
-                parts.addFirst(previous.input)
+        var next = turns[turn] ?: return null
+        parts.addFirst(next.input)
+        while (true) {
+            val base = next.base
+            if (base != null) {
+                parts.addFirst(base)
+                break
             }
-            next = previous
+            next = turns[next.previous ?: break] ?: return null
+            parts.addFirst(next.output ?: return null)
+            parts.addFirst(next.input)
         }
         return parts.join()
     }
 
     /**
-     * The prompt of a new turn that continues [turn], without the new turn's own input; null unless [turn] has a
-     * complete answer.
+     * The prompt of a new turn that continues [turn], without the new turn's own input; null unless all turns of the chain up to
+     * [turn] are known and have complete answers.
      */
     fun promptAfter(turn: AttemptId): ByteArray? {
         val output = turns[turn]?.output ?: return null
-        return prompt(turn) + output
+        return prompt(turn)?.plus(output)
+    }
+
+    /** Whether all turns of the chain up to [turn] are known and have complete answers. */
+    private fun hasWholeChain(turn: AttemptId): Boolean {
+        var next = turns[turn] ?: return false
+        while (next.output != null && next.base == null) {
+            next = turns[next.previous ?: return true] ?: return false
+        }
+        return next.output != null
     }
 
     private fun Collection<ByteArray>.join(): ByteArray {
--- a/turns/src/main/kotlin/sycamore/turns/TurnTable.kt
+++ b/turns/src/main/kotlin/sycamore/turns/TurnTable.kt
@@ -67,19 +67,19 @@
     }
 
     /**
-     * The prompt of a new turn that continues [turn], without the new turn's own input; null unless [turn] has a
-     * complete answer at this home.
+     * The prompt of a new turn that continues [turn], without the new turn's own input; null unless all turns of the chain up to
+     * [turn] have complete answers at this home.
      */
     fun promptAfter(turn: AttemptId): ByteArray? {
         val program = programOf[turn] ?: return null
         return withShard(program) { it[program]?.turns?.promptAfter(turn) }
     }
 
-    /** The prompt that an engine receives for [turn] of [program]. */
+    /** The prompt that an engine receives for [turn] of [program]; null unless all earlier turns of its chain are complete. */
     fun prompt(
         program: ProgramName,
         turn: AttemptId,
-    ): ByteArray = withShard(program) { it[program]?.turns?.prompt(turn) } ?: ByteArray(0)
+    ): ByteArray? = withShard(program) { it[program]?.turns?.prompt(turn) }
 
     /**
      * Reverts the start of [turn], which did not run. It may be started again, unless the record of another home has ended
@@ -94,26 +94,31 @@
     }
 
     /** Applies [record] to its program. */
-    fun apply(record: TurnRecord) {
-        when (record) {
-            is TurnStarted -> apply(record, listOf(record.turn))
-            is TurnEnd -> apply(record, listOf(record.turn))
-            is TurnsCounted -> apply(record, record.turns)
-        }
-    }
+    fun apply(record: TurnRecord) = applyAll(listOf(record))
+
+    /** Applies [records]. Those of one program take effect together, so that no turn is started between them. */
+    fun applyAll(records: List<TurnRecord>) =
+        records.groupBy { it.program }.forEach { (program, all) -> applyAll(program, all) }
 
-    private fun apply(
-        record: TurnRecord,
-        turns: List<AttemptId>,
+    private fun applyAll(
+        program: ProgramName,
+        records: List<TurnRecord>,
     ) {
-        withShard(record.program) { programs ->
-            val entry = programs.getOrPut(record.program) { Entry(ProgramTurns(), time.markNow()) }
+        withShard(program) { programs ->
+            val entry = programs.getOrPut(program) { Entry(ProgramTurns(), time.markNow()) }
             entry.lastUse = time.markNow()
-            entry.turns.apply(record)
+            records.forEach(entry.turns::apply)
         }
-        turns.forEach { programOf[it] = record.program }
+        records.flatMap(::turnsOf).forEach { programOf[it] = program }
     }
 
+    private fun turnsOf(record: TurnRecord): List<AttemptId> =
+        when (record) {
+            is TurnStarted -> listOf(record.turn)
+            is TurnEnd -> listOf(record.turn)
+            is TurnsCounted -> record.turns
+        }
+
     /** Tokens of [program] that are spent or reserved. */
     fun committedTokens(program: ProgramName): Long = withShard(program) { it[program]?.turns?.committedTokens ?: 0 }
 
--- a/turns/src/test/kotlin/sycamore/turns/TurnTableTest.kt
+++ b/turns/src/test/kotlin/sycamore/turns/TurnTableTest.kt
@@ -4,6 +4,8 @@
 import net.jqwik.api.Property
 import sycamore.routing.AttemptId
 import sycamore.routing.ProgramName
+import java.util.concurrent.atomic.AtomicBoolean
+import kotlin.concurrent.thread
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -46,6 +48,25 @@
         owner: ProgramName = program,
     ) = table.apply(TurnFinished(owner, AttemptId(turn), "out-$turn\n".encodeToByteArray(), tokens))
 
+    private fun prompt(
+        turn: String,
+        owner: ProgramName = program,
+    ) = table.prompt(owner, AttemptId(turn))?.decodeToString()
+
+    private fun startRecord(
+        turn: String,
+        previous: String?,
+    ) = TurnStarted(
+        program,
+        AttemptId(turn),
+        previous?.let(::AttemptId),
+        "in-$turn;".encodeToByteArray(),
+        reserved = 40,
+    )
+
+    private fun finishRecord(turn: String) =
+        TurnFinished(program, AttemptId(turn), "out-$turn\n".encodeToByteArray(), tokens = 10)
+
     @Test
     fun `a prompt consists of the inputs and outputs of the chain and the new input`() {
         start(request("a"))
@@ -53,7 +74,7 @@
         start(request("b", "a"))
         finish("b")
         start(request("c", "b"))
-        assertEquals("in-a;out-a\nin-b;out-b\nin-c;", table.prompt(program, AttemptId("c")).decodeToString())
+        assertEquals("in-a;out-a\nin-b;out-b\nin-c;", prompt("c"))
     }
 
     @Test
@@ -62,7 +83,7 @@
         finish("a")
         assertIs<TurnStart.Admitted>(start(request("b", "a")))
         assertIs<TurnStart.Admitted>(start(request("c", "a")))
-        assertEquals("in-a;out-a\nin-c;", table.prompt(program, AttemptId("c")).decodeToString())
+        assertEquals("in-a;out-a\nin-c;", prompt("c"))
     }
 
     @Test
@@ -74,6 +95,39 @@
         assertEquals(TurnStart.NoSuchTurn, start(request("d", "never")))
     }
 
+    /** Guards against UNASKED: an engine ran a prompt without the beginning of its chain, whose records had not arrived yet. */
+    @Test
+    fun `a turn does not start while earlier turns of its chain are missing`() {
+        listOf(startRecord("b", "a"), finishRecord("b")).forEach(table::apply)
+        assertEquals(TurnStart.IncompleteHistory, start(request("c", "b")))
+        assertNull(table.promptAfter(AttemptId("b")))
+        listOf(startRecord("a", null), finishRecord("a")).forEach(table::apply)
+        assertIs<TurnStart.Admitted>(start(request("c", "b")))
+        assertEquals("in-a;out-a\nin-b;out-b\nin-c;", prompt("c"))
+    }
+
+    /** Guards against turns that start between the records of two logs with turns of the same program. */
+    @Test
+    fun `records of several logs that are applied together take effect at once`() {
+        val turns = List(CHAIN_LENGTH) { "t$it" }
+        val starts = turns.mapIndexed { index, turn -> startRecord(turn, turns.getOrNull(index - 1)) }
+        val records = (starts + turns.map(::finishRecord)).reversed()
+        val seen = HashSet<TurnStart>()
+        val isApplied = AtomicBoolean()
+        val reader =
+            thread {
+                while (!isApplied.get()) {
+                    seen += table.start(request("last", turns.last(), budget = 10L * CHAIN_LENGTH))
+                }
+            }
+        table.applyAll(records)
+        isApplied.set(true)
+        reader.join()
+        val last = start(request("last", turns.last(), budget = 10L * CHAIN_LENGTH))
+        assertEquals(TurnStart.BudgetSpent(left = 0), last)
+        assertEquals(emptySet(), seen - setOf(TurnStart.NoSuchTurn, last))
+    }
+
     @Test
     fun `turns in progress reserve the maximum number of tokens that they may generate`() {
         assertIs<TurnStart.Admitted>(start(request("a")))
@@ -118,7 +172,7 @@
         finish("a")
         val other = ProgramName("q")
         assertIs<TurnStart.Admitted>(start(request("b", "a", owner = other)))
-        assertEquals("in-a;out-a\nin-b;", table.prompt(other, AttemptId("b")).decodeToString())
+        assertEquals("in-a;out-a\nin-b;", prompt("b", other))
         assertEquals(40, table.committedTokens(other))
     }
 
@@ -232,4 +286,8 @@
             listOf(started) + ends
         }
     }
+
+    private companion object {
+        const val CHAIN_LENGTH = 20_000
+    }
 }
