Reserve the provisional turn of a program in the store

What callers saw: BUDGET.

Cause: while the home of a program does not answer, another home gives the program one provisional turn. Only that home knew of it. Its successor adopted the records of the turn, but the program was not registered there, so it got another provisional turn. Any other home that was asked later could do the same.

Fix: a home creates the mark that a program with a spent budget gets, with its own name, before it gives a provisional turn. The mark outlasts the home. A reservation whose answer was lost is recognised by the name in it.

--- a/homes/src/main/kotlin/sycamore/homes/ProgramAssignments.kt
+++ b/homes/src/main/kotlin/sycamore/homes/ProgramAssignments.kt
@@ -56,9 +56,10 @@
  * Ensures that each program has one home: registers programs that arrive at the home [self] in the directory.
  *
  * While the directory has not received answers from all homes, a program that may have another home gets one
- * provisional turn here, unless the key-value service lists it among the programs that spent their budgets, or cannot
- * be read. Its next turn waits until the directory has confirmed its home. The budget of a program is therefore exceeded by at most one turn. If another home turns out to serve the
- * program, the tokens of that turn are counted there.
+ * provisional turn here, unless the key-value service marks it as a program that has spent its budget or has had such a turn at
+ * any home, or does not answer. Its next turn waits until the directory has confirmed its home. The budget of a program is therefore
+ * exceeded by at most one turn, whichever homes are lost. If another home turns out to serve the program, the tokens of that turn
+ * are counted there.
  *
  * @param isAdopting whether this home has claimed homes whose programs it has not adopted yet.
  * @param background runs work that continues after the end of a turn, until the home ends.
@@ -148,7 +149,11 @@
         if (provisional.putIfAbsent(program, CompletableDeferred()) != null) return unresolved(program)
         var isGranted = false
         try {
-            isGranted = !spent.mayBeMarked(program) && registrations.recordProvisional(program, owner)
+            val mayReserve = !registrations.isProvisional(program)
+            isGranted =
+                mayReserve &&
+                spent.reserveProvisionalTurn(program, self.home) &&
+                registrations.recordProvisional(program, owner)
         } finally {
             // A program that got no turn may get one as soon as the marks can be read, or the new owner answers.
             if (!isGranted) endProvisional(program)
--- a/homes/src/main/kotlin/sycamore/homes/ProgramRegistrations.kt
+++ b/homes/src/main/kotlin/sycamore/homes/ProgramRegistrations.kt
@@ -45,6 +45,9 @@
     /** Whether [program] is registered here. */
     fun contains(program: ProgramName): Boolean = lock.withLock { program in registered }
 
+    /** Whether [program] has had its provisional turn here. */
+    fun isProvisional(program: ProgramName): Boolean = lock.withLock { program in provisional }
+
     /** The owner of [program]'s partition; null when none is known. */
     fun ownerOf(program: ProgramName): HomeEndpoint? =
         lock.withLock { ownerOf(ProgramPartitions.partitionOf(program.value)) }
--- a/homes/src/main/kotlin/sycamore/homes/SpentPrograms.kt
+++ b/homes/src/main/kotlin/sycamore/homes/SpentPrograms.kt
@@ -6,10 +6,11 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import sycamore.model.HomeId
 import sycamore.routing.ProgramName
 import sycamore.services.Backoff
 import sycamore.services.KeyValue
-import sycamore.services.ReadResult
+import sycamore.services.Revision
 import sycamore.services.WriteResult
 import sycamore.turns.SpentKeys
 import java.util.concurrent.ConcurrentHashMap
@@ -17,10 +18,11 @@
 import kotlin.time.Duration.Companion.minutes
 
 /**
- * The programs that have spent their budgets, as marked in the key-value service.
+ * The marks of programs in the key-value service that get no provisional turn: they have spent their budgets, or have had a
+ * provisional turn.
  *
  * Such a program may send another turn to a home that cannot reach the directory to find out which home served it. That
- * home checks the marks instead.
+ * home checks the marks instead. They outlast the homes, so that all homes together give a program one provisional turn.
  *
  * @param scope runs the writes. Programs that wait to be marked are written together in one call.
  */
@@ -65,10 +67,24 @@
         return keys.putEmpty(batch.map(SpentKeys::key), MARK_TTL) is WriteResult.Applied
     }
 
-    /** Whether [program] may be marked: either it is, or the key-value service does not answer within [READ_TIMEOUT]. */
-    suspend fun mayBeMarked(program: ProgramName): Boolean {
-        val read = withTimeoutOrNull(READ_TIMEOUT) { keys.get(SpentKeys.key(program)) }
-        return read !is ReadResult.Found || read.value != null
+    /**
+     * Reserves the provisional turn of [program] for [home]. Returns false if the program is marked already, unless it is by an
+     * earlier reservation for [home], or if the key-value service does not answer within [RESERVATION_TIMEOUT].
+     */
+    suspend fun reserveProvisionalTurn(
+        program: ProgramName,
+        home: HomeId,
+    ): Boolean {
+        val mark = home.toString().encodeToByteArray()
+        val write =
+            withTimeoutOrNull(RESERVATION_TIMEOUT) {
+                keys.put(SpentKeys.key(program), mark, Revision.ABSENT, MARK_TTL)
+            }
+        return when (write) {
+            is WriteResult.Applied -> true
+            is WriteResult.Conflict -> write.current?.value.contentEquals(mark)
+            is WriteResult.NotSent, is WriteResult.OutcomeUnknown, null -> false
+        }
     }
 
     private companion object {
@@ -76,6 +92,6 @@
         val MARK_TTL = 10.minutes
 
         /** A slow service answers within this time. The caller of a turn waits meanwhile, and leaves after two seconds. */
-        val READ_TIMEOUT = 300.milliseconds
+        val RESERVATION_TIMEOUT = 300.milliseconds
     }
 }
