Write a record that is larger than a value of the store in parts

What callers saw: Fault.

Cause: a log segment holds at least one record of any size and is one value of the store. The store's client threw an exception for a value above its limit, which ended the daemon. The successor got the same record from the retainers and ended likewise.

Fix: such a record is written in parts, in consecutive segments, and is committed with its last part. The limit of a segment follows from value_bytes in the settings. A value that is too large is a refused write, not an exception.

--- a/forwarding/src/main/kotlin/sycamore/forwarding/PlatformDaemon.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/PlatformDaemon.kt
@@ -47,7 +47,14 @@
 
     /** The client of the platform's key-value service. */
     val keyValue =
-        keyValueClient(StoreKeyValue(settings.store.address, StoreHttp.client(), Threads.blocking)) {
+        keyValueClient(
+            StoreKeyValue(
+                settings.store.address,
+                StoreHttp.client(),
+                Threads.blocking,
+                maxValueBytes = settings.store.maxValueBytes,
+            ),
+        ) {
             // Far above the calls of a healthy daemon. The store's call rate is shared by all processes, and a faulty
             // daemon must not use it up.
             callsPerSecond = 20.0
--- a/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
@@ -184,6 +184,7 @@
             copies,
             ::distance,
             keys,
+            settings.store.maxValueBytes,
             retainers,
             spent,
             exchange,
--- a/homes/src/main/kotlin/sycamore/homes/HomeJournal.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeJournal.kt
@@ -53,6 +53,7 @@
  * The log of a home. Records get consecutive numbers when they are appended. They are committed later, in segments that
  * are written to the key-value service one at a time. Until then retainers keep them.
  *
+ * @param maxValueBytes the size of the largest value that the key-value service stores.
  * @param chooseRetainers chooses the retainers that keep records from now on, given those that the log names at
  *     present.
  */
@@ -60,6 +61,7 @@
     val home: HomeId,
     private val keys: KeyValue,
     private val time: TimeSource.WithComparableMarks,
+    maxValueBytes: Int,
     private val chooseRetainers: (named: List<Retainer>) -> List<Retainer>,
 ) {
     /**
@@ -75,6 +77,9 @@
         val record: LogRecord get() = entry.record
     }
 
+    /** Limit of one segment before compression. Even incompressible records, with their numbers, fit into a value. */
+    private val maxSegmentBytes = (maxValueBytes * SEGMENT_SHARE).toInt()
+
     private val lock = ReentrantLock()
     private val pending = ArrayDeque<Pending>()
     private val wake = Channel<Unit>(Channel.CONFLATED)
@@ -82,6 +87,9 @@
     private val lastCommitted = MutableStateFlow(0L)
     private var pendingBytes = 0L
     private var sequence = 0L
+
+    /** The number of bytes of the first pending record that earlier segments contain. */
+    private var continuedBytes = 0
     private var formerRetainers: List<Retainer> = emptyList()
     private var lastWrite: ComparableTimeMark? = null
     private val backoff = Backoff.shortPauses()
@@ -213,7 +221,7 @@
             val oldest = pending.firstOrNull()
             when {
                 chooseRetainers(namedRetainers.value) != namedRetainers.value -> Duration.ZERO
-                oldest != null && isCommitUrgent() -> Duration.ZERO
+                oldest != null && (isCommitUrgent() || continuedBytes > 0) -> Duration.ZERO
                 formerRetainers.isNotEmpty() -> FORMER_RETAINERS_DELAY - (lastWrite?.elapsedNow() ?: Duration.ZERO)
                 oldest == null -> RETAINER_CHECK_INTERVAL
                 else -> minOf(MAX_COMMIT_DELAY - oldest.since.elapsedNow(), RETAINER_CHECK_INTERVAL)
@@ -225,9 +233,19 @@
     private fun nextSegment(): LogSegment {
         val retainers = chooseRetainers(namedRetainers.value)
         return lock.withLock {
-            val next = nextEntries()
-            val formerRetainers = formerRetainersOf(retainers, isAll = next.size == pending.size)
-            LogSegment(home, "$home-${sequence + 1}", condense(next), retainers, formerRetainers)
+            val id = "$home-${sequence + 1}"
+            val large = pending.firstOrNull()?.record?.takeIf { it.bytes.size > maxSegmentBytes }
+            if (large != null) {
+                val end = minOf(large.bytes.size, continuedBytes + maxSegmentBytes)
+                val part = LogRecord(large.number, large.bytes.copyOfRange(continuedBytes, end))
+                val isContinued = end < large.bytes.size
+                val former = formerRetainersOf(retainers, isAll = !isContinued && pending.size == 1)
+                LogSegment(home, id, listOf(part), retainers, former, isContinued = isContinued)
+            } else {
+                val next = nextEntries()
+                val former = formerRetainersOf(retainers, isAll = next.size == pending.size)
+                LogSegment(home, id, condense(next), retainers, former)
+            }
         }
     }
 
@@ -250,9 +268,8 @@
         var bytes = 0L
         return pending
             .takeWhile {
-                val isFirst = bytes == 0L
                 bytes += it.record.bytes.size
-                isFirst || bytes <= MAX_SEGMENT_BYTES
+                bytes <= maxSegmentBytes
             }.map { it.entry }
     }
 
@@ -264,6 +281,15 @@
         opened.complete(Unit)
         lock.withLock {
             formerRetainers = segment.formerRetainers
+            continuedBytes =
+                if (segment.isContinued) {
+                    continuedBytes +
+                        segment.records
+                            .last()
+                            .bytes.size
+                } else {
+                    0
+                }
             removePending(segment.lastNumber)
         }
         if (segment.retainers != namedRetainers.value) {
@@ -330,18 +356,15 @@
     }
 
     private companion object {
+        /** The part of a value that the records of a segment may take. */
+        const val SEGMENT_SHARE = 0.7
+
         /** Limit of the records in one message to a retainer, so that it can reply soon even over a slow link. */
         const val MAX_BATCH_BYTES = 48 * 1024
 
         /** Size of the uncommitted records, before compression, at which a segment is written without further delay. */
         const val COMMIT_THRESHOLD_BYTES = 256L * 1024
 
-        /**
-         * Limit of one segment before compression. Even incompressible records fit into a value of the key-value
-         * service.
-         */
-        const val MAX_SEGMENT_BYTES = 700_000L
-
         /**
          * Limit of the time that a record waits for its commit while retainers keep it. Each write to the service is
          * paid for.
--- a/homes/src/main/kotlin/sycamore/homes/SealedLog.kt
+++ b/homes/src/main/kotlin/sycamore/homes/SealedLog.kt
@@ -14,6 +14,7 @@
 import sycamore.turns.LogSegment
 import sycamore.turns.LogSegments
 import sycamore.turns.Retainer
+import sycamore.turns.joinRecords
 import kotlin.time.Duration.Companion.minutes
 
 // Log lines carry this logger name, which is independent of the class name.
@@ -44,7 +45,7 @@
                     it.number > committedNumber
                 }.distinctBy { it.number }
                 .sortedBy { it.number }
-        return ownSegments.flatMap { it.records } + uncommitted
+        return joinRecords(ownSegments) + uncommitted
     }
 
     val retainers: List<List<Retainer>>
--- a/homes/src/main/kotlin/sycamore/homes/TurnHome.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnHome.kt
@@ -53,6 +53,7 @@
     copies: RecordCopies,
     distance: (PlaceName) -> Distance,
     private val keys: KeyValue,
+    maxValueBytes: Int,
     private val retainers: RetainerDirectory,
     spent: SpentPrograms,
     private val exchange: Exchange,
@@ -88,7 +89,7 @@
             { background.launch("registering a program", it) },
             onUnresponsive,
         )
-    val journal = HomeJournal(id, keys, time, retainers::choose)
+    val journal = HomeJournal(id, keys, time, maxValueBytes, retainers::choose)
     val retention = RecordRetention(journal, copies, distance, exchange, retainers)
 
     private val registered = CompletableDeferred<Revision>()
--- a/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeDaemonTest.kt
@@ -33,6 +33,8 @@
 import sycamore.routing.ProgramName
 import sycamore.services.ReadResult
 import sycamore.turns.HomeKeys
+import java.util.Base64
+import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -614,6 +616,28 @@
                 .awaitAll()
         }
 
+    /**
+     * Guards against homes that end by themselves, one after the other, over a turn that does not fit into a value of the store,
+     * and against homes that commit nothing after such a turn.
+     */
+    @Test
+    fun `a turn that is larger than a value of the store is committed, and served by a successor`() =
+        homeTest { fixture ->
+            (1..2).forEach { fixture.startReady(it) }
+            val input = Base64.getEncoder().encode(Random(1).nextBytes(1_200_000)) + "in-a;".encodeToByteArray()
+            val call = fixture.runTurnMessage(1, "a").copy(input = input)
+            assertEquals("whole", fixture.exchange(address(1), call).toList().outcome())
+            assertEquals("whole", fixture.sendTurn(1, "b", program = "q").outcome())
+            delay(10.seconds)
+            assertEquals(0, fixture.retainers.sumOf { it.count }, "records that are not committed")
+            val lost = fixture.homeAt(1)
+            fixture.kill(address(1))
+            assertIs<HomeTakenOver>(fixture.takeOver(lost, by = 2))
+            assertEquals("whole", fixture.sendTurn(2, "c", "a").outcome())
+            assertEquals(input.decodeToString() + "one\ntwo\nin-c;", fixture.prompts["c"])
+            assertEquals("whole", fixture.sendTurn(2, "d", "b", program = "q").outcome())
+        }
+
     /** Guards against lost turns when a home is killed before it has merged another one: its successor has to recover both. */
     @Test
     fun `the last successor recovers a chain of lost homes`() =
--- a/homes/src/test/kotlin/sycamore/homes/HomeJournalTest.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeJournalTest.kt
@@ -8,6 +8,7 @@
 import sycamore.model.HostName
 import sycamore.model.Incarnation
 import sycamore.model.PlaceName
+import sycamore.services.KeyValue
 import sycamore.services.keyValueClient
 import sycamore.standins.FaultyKeyValue
 import sycamore.standins.KeyValueStore
@@ -25,7 +26,7 @@
         runTest {
             val store = FaultyKeyValue(KeyValueStore(testTimeSource), testTimeSource)
             val countingClient = keyValueClient(store) { time = testTimeSource }
-            val journal = HomeJournal(home, countingClient, testTimeSource) { it }
+            val journal = HomeJournal(home, countingClient, testTimeSource, KeyValue.MAX_VALUE_BYTES) { it }
             backgroundScope.launch { journal.run() }
             delay(1.seconds)
             store.setFaults { it.copy(down = true) }
--- a/standins/src/main/kotlin/sycamore/standins/KeyValueStore.kt
+++ b/standins/src/main/kotlin/sycamore/standins/KeyValueStore.kt
@@ -22,6 +22,7 @@
  */
 class KeyValueStore(
     private val clock: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+    private val maxValueBytes: Int = KeyValue.MAX_VALUE_BYTES,
 ) : KeyValue {
     private val lock = ReentrantLock()
     private val items = sortedMapOf<String, Item>()
@@ -67,7 +68,12 @@
         expected: Revision,
         lease: Duration?,
         condition: KeyVersion?,
-    ): WriteResult = change(key, value, expected, lease, condition)
+    ): WriteResult =
+        if (value.size > maxValueBytes) {
+            WriteResult.NotSent("expected at most $maxValueBytes bytes for $key, found ${value.size}")
+        } else {
+            change(key, value, expected, lease, condition)
+        }
 
     override suspend fun delete(
         key: String,
--- a/turns/src/main/kotlin/sycamore/turns/LogSegment.kt
+++ b/turns/src/main/kotlin/sycamore/turns/LogSegment.kt
@@ -51,6 +51,8 @@
  * One value of a home's log in the key-value service.
  *
  * @property records records by number. Numbers are missing where a record replaces earlier ones; see [condense].
+ * @property isContinued whether the last of [records] continues in the next segment, since it is too large for one. A record whose
+ *     last part is missing is not committed.
  * @property id id of one attempt to write the segment, by which a writer whose response was lost recognizes its own
  *     value.
  * @property retainers the only retainers, besides [formerRetainers], that may store records above this segment's.
@@ -65,9 +67,25 @@
     val retainers: List<Retainer> = emptyList(),
     val formerRetainers: List<Retainer> = emptyList(),
     val sealedBy: HomeId? = null,
+    val isContinued: Boolean = false,
 ) {
     /** Number up to which all records of the log are committed with this segment; 0 if it contains none. */
-    val lastNumber: Long get() = records.lastOrNull()?.number ?: 0
+    val lastNumber: Long get() = records.lastOrNull()?.let { if (isContinued) it.number - 1 else it.number } ?: 0
+}
+
+/** The complete records of [segments], which follow one another in a log. The parts of a record are joined. */
+fun joinRecords(segments: List<LogSegment>): List<LogRecord> {
+    val records = ArrayList<LogRecord>()
+    var parts = ByteArray(0)
+    for (segment in segments) {
+        for (record in segment.records) {
+            parts = if (parts.isEmpty()) record.bytes else parts + record.bytes
+            if (segment.isContinued && record === segment.records.last()) continue
+            records += LogRecord(record.number, parts)
+            parts = ByteArray(0)
+        }
+    }
+    return records
 }
 
 /** Encodes segments as compressed CBOR, and defines their keys. */
