Limit the memory of all answers that a home receives at the same time

What callers saw elsewhere: a faulty worker sent bytes without end, the machine that had called it ran out of memory, and the requests of other clients there ended with it.

Cause here: a home keeps an answer of up to 2 MiB, and nothing limits how many it keeps at a time.

Fix: all answers together may take a sixteenth of the heap. Beyond that, an answer is aborted that is not smaller than the average, so that regular answers go on.

--- a/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeDaemon.kt
@@ -99,6 +99,7 @@
     private val homes = HomeList(keys, InvalidEntries("home", registry))
     private val takeovers = HomeTakeovers(keys, exchange, copies, scope, meters, time, { isLeaving }) { home }
     private val spent = SpentPrograms(keys, scope)
+    private val answers = AnswerMemory(Runtime.getRuntime().maxMemory() / ANSWER_MEMORY_DIVISOR)
     private val runningTurns = AtomicInteger()
 
     /** The number of turns of other homes that are at this gate or its engine. */
@@ -205,7 +206,7 @@
                 val reason = if (isLeaving) "the host is leaving" else "the home is not registered yet"
                 return emit(TurnRefused(TurnRefusal.NOT_HERE, reason))
             }
-            val replies = TurnRunner(home, prompts::send, exchange, spent, meters, time).run(call)
+            val replies = TurnRunner(home, prompts::send, exchange, spent, answers, meters, time).run(call)
             emitAll(replies.map { if (it is TurnComplete) TurnComplete(gateStatus()) else it })
         } finally {
             runningTurns.decrementAndGet()
@@ -295,6 +296,12 @@
     }
 
     private companion object {
+        /**
+         * One part in this many of the heap may hold answers that are being received. Their buffers take up to three times the size of
+         * the answers while they grow.
+         */
+        const val ANSWER_MEMORY_DIVISOR = 16
+
         /** How often a stopping daemon checks whether the turns in progress have ended. */
         val DRAIN_CHECK_INTERVAL = 20.milliseconds
 
--- a/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
@@ -42,6 +42,7 @@
     private val send: SendPrompt,
     private val exchange: Exchange,
     private val spent: SpentPrograms,
+    private val answers: AnswerMemory,
     private val meters: TurnMeters,
     private val time: TimeSource,
 ) {
@@ -171,12 +172,14 @@
         private var timeToSend: Duration? = null
         private var timeToBegin: Duration? = null
 
-        suspend fun run() {
+        suspend fun run() = answers.open().use { run(it) }
+
+        private suspend fun run(answer: AnswerMemory.Answer) {
             var last: Message = TurnInterrupted("the gate did not answer")
             try {
                 send(call.copy(timeLeft = call.timeLeft - receivedAt.elapsedNow()), prompt).collect { message ->
                     if (message is TurnComplete || message is TurnInterrupted || message is TurnRefused) last = message
-                    handle(message)
+                    handle(message, answer)
                 }
             } catch (e: LinkException) {
                 last = if (e.sent) TurnInterrupted("the gate was lost: ${e.message}") else refusalOfUnreachable(e)
@@ -224,7 +227,10 @@
                 else -> "broken"
             }
 
-        private suspend fun handle(message: Message) {
+        private suspend fun handle(
+            message: Message,
+            answer: AnswerMemory.Answer,
+        ) {
             when (message) {
                 TurnSent -> {
                     timeToSend = arrivedAt.elapsedNow()
@@ -238,6 +244,7 @@
                 is TurnBytes -> {
                     if (isSuccess) events.read(message.bytes)
                     if (events.size > MAX_ANSWER_BYTES) throw AnswerException("the engine's answer is too long")
+                    if (!answer.resize(events.size)) throw AnswerException("the answers in progress are too long")
                     forward(message)
                 }
                 is TurnComplete -> if (isSuccess) recordFinished()
