Find a silent connection to the store within the stable window

What callers saw: CONFIG.

Cause: connections may go silent for good while new ones work. A silent connection to the store was found by keep-alive probes only. Where the peer's system answers these, a watch ended after 30 to 32 s, and the next call could take another silent connection from the pool.

Fix: the store holds a watch open for half of stable_window_ms at most and may answer a quarter of it late. A call that is not answered in time also closes the idle connections.

Evidence: without the shorter watch, "a change is seen within the stable time although all open connections to the store are silent" failed (nothing in 8 s, on a store that still accepts connections); with it, it passes. That the reported runs had silent connections is inferred.

--- a/forwarding/src/main/kotlin/sycamore/forwarding/ClientConnection.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/ClientConnection.kt
@@ -33,6 +33,9 @@
     /** The use of this connection until now. */
     val use: ConnectionUse get() = ConnectionUse(messagesOut, openedAt.elapsedNow())
 
+    /** Whether no request is in progress on this connection. */
+    val isIdle: Boolean get() = httpChannel.httpExchange == null
+
     override fun newHttpChannel(): HttpChannelOverHTTP = Channel()
 
     override fun addBytesIn(count: Long) {
--- a/forwarding/src/main/kotlin/sycamore/forwarding/ClientTransport.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/ClientTransport.kt
@@ -3,6 +3,7 @@
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP
 import org.eclipse.jetty.io.Connection
 import org.eclipse.jetty.io.EndPoint
+import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.TimeSource
 
 /**
@@ -18,8 +19,24 @@
         headerCacheSize = KeepAliveConnector.NO_HEADER_CACHE
     }
 
+    private val connections = ConcurrentHashMap.newKeySet<ClientConnection>()
+
     override fun newConnection(
         endPoint: EndPoint,
         context: Map<String, Any>,
-    ): Connection = customize(ClientConnection(endPoint, context, time, onStrayBytes), context)
+    ): Connection {
+        val connection = ClientConnection(endPoint, context, time, onStrayBytes)
+        connections += connection
+        connection.addEventListener(CloseListener { connections -= connection })
+        return customize(connection, context)
+    }
+
+    /** Closes the connections without a request in progress. The next requests are sent on new ones. */
+    fun closeIdleConnections() = connections.filter { it.isIdle }.forEach { it.close() }
+
+    private class CloseListener(
+        private val onClosed: () -> Unit,
+    ) : Connection.Listener {
+        override fun onClosed(connection: Connection) = onClosed()
+    }
 }
--- a/forwarding/src/main/kotlin/sycamore/forwarding/PlatformDaemon.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/PlatformDaemon.kt
@@ -13,7 +13,6 @@
 import sycamore.daemon.Metrics
 import sycamore.daemon.Program
 import sycamore.daemon.Stop
-import sycamore.daemon.Threads
 import sycamore.daemon.bindKeyValue
 import sycamore.daemon.log.LogContext
 import sycamore.daemon.log.event
@@ -25,8 +24,6 @@
 import sycamore.model.Address
 import sycamore.model.Checked
 import sycamore.platform.HostSettings
-import sycamore.platform.StoreKeyValue
-import sycamore.services.keyValueClient
 import java.io.File
 import java.io.IOException
 import kotlin.time.Duration
@@ -46,21 +43,7 @@
     private var bounds = settings.bounds
 
     /** The client of the platform's key-value service. */
-    val keyValue =
-        keyValueClient(
-            StoreKeyValue(
-                settings.store.address,
-                StoreHttp.client(),
-                Threads.blocking,
-                maxValueBytes = settings.store.maxValueBytes,
-            ),
-        ) {
-            // Far above the calls of a healthy daemon. The store's call rate is shared by all processes, and a faulty
-            // daemon must not use it up.
-            callsPerSecond = 20.0
-            burst = 60
-            timeout = STORE_TIMEOUT
-        }
+    val keyValue = storeClient(settings.store, settings.bounds)
 
     /** The client side of the links to other daemons. */
     val links = LinkClient(settings.name, bounds = LINK_BOUNDS)
@@ -163,11 +146,6 @@
         /** Sufficient for the one or two scrapers that read the metrics. */
         private val METRICS_HTTP_LIMITS = HttpLimits(requests = 4, connections = 8)
 
-        /**
-         * The store responds within milliseconds. A call that takes this long has lost its connection or its response.
-         */
-        private val STORE_TIMEOUT = 2.seconds
-
         /** The part of the grace period that is kept free to write the last log lines before the process is killed. */
         private val STOP_RESERVE = 300.milliseconds
 
--- a/forwarding/src/main/kotlin/sycamore/forwarding/StoreHttp.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/StoreHttp.kt
@@ -11,6 +11,7 @@
 import org.http4k.core.Status
 import java.net.ConnectException
 import java.util.concurrent.ExecutionException
+import java.util.concurrent.TimeoutException
 
 /**
  * The HTTP client for the platform's key-value store.
@@ -24,20 +25,27 @@
     /** Several times the size of a page of the store, which holds 1 MB of values as base64 text. */
     private const val MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
-    /** Creates a client whose connections use TCP keep-alive probes. An interrupted call closes its connection. */
+    /**
+     * Creates a client whose connections use TCP keep-alive probes.
+     *
+     * A call that is interrupted, since it got no answer in time, closes its connection and those without a call. What has
+     * silenced one open connection may have silenced all of them, although their peers' systems may answer the probes.
+     */
     fun client(): HttpHandler {
+        val transport = ClientTransport(onStrayBytes = AnswerRecord::logStrayBytes)
         val client =
-            HttpClient(ClientTransport(onStrayBytes = AnswerRecord::logStrayBytes)).apply {
+            HttpClient(transport).apply {
                 executor = QueuedThreadPool(MAX_THREADS, MIN_THREADS)
                 isFollowRedirects = false
                 maxResponseHeadersSize = UpstreamClient.MAX_HEAD_BYTES
                 start()
             }
-        return { request -> call(client, request) }
+        return { request -> call(client, transport, request) }
     }
 
     private fun call(
         client: HttpClient,
+        transport: ClientTransport,
         request: Request,
     ): Response {
         val jetty = client.newRequest(request.uri.toString()).method(request.method.name)
@@ -53,9 +61,11 @@
             return response.get().toHttp4k()
         } catch (e: InterruptedException) {
             jetty.abort(e)
+            transport.closeIdleConnections()
             throw e
         } catch (e: ExecutionException) {
             if (e.cause is ConnectException) return Response(Status.CONNECTION_REFUSED)
+            if (e.cause is TimeoutException) transport.closeIdleConnections()
             throw e.cause ?: e
         }
     }
--- a/gateway/src/test/kotlin/sycamore/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/sycamore/gateway/GatewayFixture.kt
@@ -27,7 +27,7 @@
             upstream = null,
             dataDirectory = null,
             maxLostDisks = 1,
-            bounds = PlatformBounds(2.5.seconds, 8.seconds, 2.5.seconds, 1.seconds),
+            bounds = PlatformBounds(2.5.seconds, 8.seconds, 2.5.seconds, 4.seconds, 1.seconds),
             store = StoreSettings(Address("127.0.0.1", 1), 400.0, 2000.0, 1 shl 20),
             memoryMib = 256,
             contracts = persistentListOf(),
--- a/homes/src/test/kotlin/sycamore/homes/HomeFixture.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeFixture.kt
@@ -277,7 +277,7 @@
         upstream = engine(number),
         dataDirectory = null,
         maxLostDisks = maxLostDisks,
-        bounds = PlatformBounds(2.5.seconds, 8.seconds, 2.5.seconds, 1.seconds),
+        bounds = PlatformBounds(2.5.seconds, 8.seconds, 2.5.seconds, 4.seconds, 1.seconds),
         store = StoreSettings(Address("10.9.0.1", 1), 400.0, 2000.0, 1 shl 20),
         memoryMib = 256,
         contracts = persistentListOf(),
--- a/retainer/src/test/kotlin/sycamore/retainer/OddRegistrationsTest.kt
+++ b/retainer/src/test/kotlin/sycamore/retainer/OddRegistrationsTest.kt
@@ -53,7 +53,7 @@
             upstream = null,
             dataDirectory = path.toString(),
             maxLostDisks = 1,
-            bounds = PlatformBounds(2.5.seconds, 8.seconds, 2.5.seconds, 1.seconds),
+            bounds = PlatformBounds(2.5.seconds, 8.seconds, 2.5.seconds, 4.seconds, 1.seconds),
             store = StoreSettings(Address("10.9.0.1", 1), 400.0, 2000.0, 1 shl 20),
             memoryMib = 256,
             contracts = persistentListOf(),
