Fault soak: connections to the store that fall silent

Each daemon of the soak reaches the store through a relay that can silence the open connections, while new ones work. Upstreams that leave say so in the store only, and no call may be sent to one of them after its drain time, or later than the stable window after the silence.

--- a/soak/src/main/kotlin/sycamore/soak/Departure.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Departure.kt
@@ -12,6 +12,7 @@
  * @property extra the time that it serves after the drain time.
  * @property absence the time until it is replaced.
  * @property isMoving whether the one that replaces it has another address.
+ * @property isAnnounced whether its answers say that it leaves.
  * @property hasSameId whether the one that replaces it has the same id.
  */
 internal data class Departure(
@@ -20,4 +21,5 @@
     val absence: Duration,
     val isMoving: Boolean,
     val hasSameId: Boolean,
+    val isAnnounced: Boolean,
 )
--- a/soak/src/main/kotlin/sycamore/soak/Deployment.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Deployment.kt
@@ -43,6 +43,7 @@
     private val network = freeNetwork()
     private val operator = KeyValueStore()
     private val storeServers = ArrayList<Http4kServer>()
+    private val storeRelays = HashMap<Daemon, Relay>()
     private var nextHost = FIRST_HOST
 
     /** The store as each daemon sees it, with the faults that only this daemon experiences. */
@@ -119,11 +120,15 @@
 
     fun oddEntries(): List<ByteArray> = SampleDocuments.oddEntries(PLAIN, Address("$network.1", 1), PLACE)
 
+    /** Silences the open connections of [daemon] to the store. */
+    fun silenceStore(daemon: Daemon) = storeRelays.getValue(daemon).silence()
+
     fun callersAddress(gateway: Daemon) = InetSocketAddress(gateway.ip, CALLERS_PORT)
 
     suspend fun stop() {
         daemons.forEach(Daemon::kill)
         upstreams.forEach(Upstream::close)
+        storeRelays.values.forEach(Relay::close)
         coroutineScope { storeServers.forEach { launch(Dispatchers.IO) { it.stop() } } }
     }
 
@@ -160,9 +165,10 @@
         upstream: Upstream,
         departure: Departure,
     ) {
-        upstream.isLeaving = true
+        upstream.isLeaving = departure.isAnnounced
         upstream.registration = departure.registration
         register(upstream)
+        if (departure.registration != Registration.READY) observations.recordLeaving(upstream.start)
         delay(SampleDocuments.drainTime + departure.extra)
         upstream.registration = Registration.NONE
         register(upstream)
@@ -210,7 +216,9 @@
             }
         val view = FaultyKeyValue(operator)
         stores[daemon] = view
-        storeServers += Http.serve(store, storeHandler(view), HttpLimits(requests = STORE_REQUESTS))
+        val server = Address(ip, STORE_SERVER_PORT)
+        storeServers += Http.serve(server, storeHandler(view), HttpLimits(requests = STORE_REQUESTS))
+        storeRelays[daemon] = Relay(store, server)
         return daemon
     }
 
@@ -254,6 +262,7 @@
         private const val LINK_PORT = 7380
         private const val READINESS_PORT = 8141
         private const val STORE_PORT = 8142
+        private const val STORE_SERVER_PORT = 8143
         private const val CALLERS_PORT = 8149
         private const val ENGINE_PORT = 8150
         private const val PLAIN_PORT = 8151
--- a/soak/src/main/kotlin/sycamore/soak/FaultInjector.kt
+++ b/soak/src/main/kotlin/sycamore/soak/FaultInjector.kt
@@ -54,6 +54,7 @@
             OutsideFault.STORE -> disturbStore(storeFaults.random(random), targets, length)
             OutsideFault.UPSTREAMS -> changeUpstreams(length)
             OutsideFault.LEAVE -> leave(length)
+            OutsideFault.SILENCE -> targets.forEach { silence(it) }
         }
     }
 
@@ -89,6 +90,10 @@
         }
     }
 
+    private fun CoroutineScope.silence(target: Daemon) {
+        launch { log.record(OutsideFault.SILENCE, target) { deployment.silenceStore(target) } }
+    }
+
     private fun CoroutineScope.configure(hasExtraRoute: Boolean) {
         launch { log.record(OutsideFault.CONFIGURE, target = null) { deployment.configure(hasExtraRoute) } }
     }
@@ -124,6 +129,8 @@
                     absence = random.nextLong(MAX_FAULT_MILLIS).milliseconds,
                     isMoving = random.nextBoolean(),
                     hasSameId = random.nextInt(SAME_ID_ONE_IN) == 0,
+                    // Otherwise the gateways would not need the store to find out.
+                    isAnnounced = OutsideFault.SILENCE !in plan.outsideFaults,
                 )
             launch {
                 val lock = leaving.getValue(target)
--- a/soak/src/main/kotlin/sycamore/soak/FaultLog.kt
+++ b/soak/src/main/kotlin/sycamore/soak/FaultLog.kt
@@ -22,6 +22,9 @@
 
     /** An upstream leaves after it has announced it. It completes all calls. */
     LEAVE(false, mayCut = false),
+
+    /** The open connections of a daemon to the store fall silent. New ones work. */
+    SILENCE(false, mayCut = false),
 }
 
 /** Records which faults were in effect when. Safe for use by several threads. */
@@ -83,6 +86,12 @@
             entry.fault in INTERRUPTIONS && entry.target === daemon && (until == null || until > since)
         }
 
+    /** The time from which the connections of [daemon] to the store have to work again; null if they were never silenced. */
+    fun settledAfterSilence(daemon: Daemon): ComparableTimeMark? =
+        entries
+            .filter { it.fault == OutsideFault.SILENCE && it.target === daemon }
+            .maxOfOrNull { it.from + SETTLING_TIME }
+
     private fun inEffect(attempt: Attempt) =
         entries.filter { entry ->
             val until = entry.until
--- a/soak/src/main/kotlin/sycamore/soak/Observations.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Observations.kt
@@ -20,6 +20,9 @@
 
     /** When a gateway first passed on an answer with which an upstream announced that it leaves. */
     private val announcements = ConcurrentHashMap<Pair<Daemon, String>, ComparableTimeMark>()
+
+    /** When each start of an upstream was registered as leaving, or unregistered. */
+    private val departures = ConcurrentHashMap<String, ComparableTimeMark>()
     private val start = time.markNow()
 
     val violations: List<Violation> get() = found.toList()
@@ -56,7 +59,10 @@
     ) {
         val attempt = attempts[id] ?: return
         val millis = start.elapsedNow().inWholeMilliseconds
-        if (outcome != MISDIRECTED) checkDrained(attempt, upstream)
+        if (outcome != MISDIRECTED) {
+            checkDrained(attempt, upstream)
+            checkRegistered(attempt, upstream)
+        }
         val isResent = attempt.receipts.any { it.address == address }
         attempt.receipts += Receipt(upstream, address, connection, request, millis, outcome)
         // An engine that refused a turn may get it again from another home.
@@ -76,6 +82,28 @@
         report(Rule.DRAIN, attempt.id, "${describe(attempt)} reached $upstream and was sent $late after its drain time")
     }
 
+    /** Records that the store names [upstream] as leaving from now on, or no longer names it. */
+    fun recordLeaving(upstream: String) {
+        departures[upstream] = time.markNow()
+    }
+
+    /** Checks that [upstream] was not registered as leaving too long before [attempt]. */
+    private fun checkRegistered(
+        attempt: Attempt,
+        upstream: String,
+    ) {
+        val registered = departures[upstream] ?: return
+        val settled = faults.settledAfterSilence(attempt.gateway) ?: registered
+        val late = attempt.at - maxOf(registered + SampleDocuments.drainTime, settled)
+        if (attempt.kind == CallKind.TURN || late <= Duration.ZERO) return
+        if (faults.wasInterrupted(attempt.gateway, registered)) return
+        report(
+            Rule.DRAIN,
+            attempt.id,
+            "${describe(attempt)} reached $upstream $late after it had to be known as leaving",
+        )
+    }
+
     /** What upstreams saw of the attempt with [id]. */
     fun receipts(id: String): List<Receipt> = attempts[id]?.receipts.orEmpty()
 
--- a/soak/src/main/kotlin/sycamore/soak/SoakPlan.kt
+++ b/soak/src/main/kotlin/sycamore/soak/SoakPlan.kt
@@ -31,7 +31,7 @@
     val classPath: String,
     val folder: File,
     val upstreamFaults: List<UpstreamFault> = UpstreamFault.entries,
-    val outsideFaults: List<OutsideFault> = OutsideFault.entries - OutsideFault.LEAVE,
+    val outsideFaults: List<OutsideFault> = OutsideFault.entries - OutsideFault.LEAVE - OutsideFault.SILENCE,
     val kinds: List<CallKind> = CallKind.entries,
     val homes: Int = if (CallKind.TURN in kinds) hosts else 0,
     val plainUpstreams: Int = hosts,
--- a/soak/src/test/kotlin/sycamore/soak/FaultSoakTest.kt
+++ b/soak/src/test/kotlin/sycamore/soak/FaultSoakTest.kt
@@ -73,6 +73,28 @@
         assertTrue(counts.leavingAnnounced.get() > 0, "found $counts")
     }
 
+    /**
+     * Guards against DRAIN and LOST: requests reached an upstream long after it had registered as leaving, since the connections of the
+     * gateway to the store had fallen silent.
+     */
+    @Test
+    fun `no call reaches an upstream registered as leaving although connections to the store fall silent`() {
+        run { folder ->
+            SoakPlan(
+                SEED,
+                length = 25.seconds,
+                hosts = 2,
+                CLASS_PATH,
+                folder,
+                upstreamFaults = emptyList(),
+                outsideFaults = listOf(OutsideFault.SILENCE, OutsideFault.LEAVE),
+                kinds = listOf(CallKind.ONCE, CallKind.REPEATABLE),
+                plainUpstreams = 6,
+                maxGap = 4.seconds,
+            )
+        }
+    }
+
     /** Stops one daemon with [role] after the other, while calls, or the pauses in the answers to turns, take up to [work]. */
     private fun stop(
         role: Role,
