Send the records of a lost home to its successor in several messages

What callers saw: LOST.

Cause: a retainer sent all records of a home in one message. One above the size of a frame is not sent, which the successor takes for a retainer that does not answer.

Fix: the records come in as many messages as needed, each of 128 KiB or one record. The time limit applies to each message.

--- a/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
+++ b/homes/src/main/kotlin/sycamore/homes/HomeTakeovers.kt
@@ -3,11 +3,16 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.FlowPreview
+import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.flow.firstOrNull
+import kotlinx.coroutines.flow.timeout
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.daemon.homes.homeEntry
@@ -24,6 +29,7 @@
 import sycamore.links.HomeTakenOver
 import sycamore.links.LinkException
 import sycamore.links.Message
+import sycamore.links.SomeHomeRecords
 import sycamore.links.TakeOverHome
 import sycamore.links.ask
 import sycamore.model.HomeId
@@ -323,14 +329,33 @@
         val replies = coroutineScope { retainers.map { async { it.id to endHome(it, lost.home) } }.awaitAll() }.toMap()
         val isEnough =
             lost.retainers.all { group -> copies.isReadQuorum(group.count { replies[it.id] != null }, group.size) }
-        return if (isEnough) replies.values.filterNotNull().flatMap { it.records } else null
+        return if (isEnough) replies.values.filterNotNull().flatten() else null
     }
 
+    /** Ends [lost] at [retainer]. Returns all records that it keeps of [lost], or null if it has not sent all of them. */
+    @OptIn(FlowPreview::class)
     private suspend fun endHome(
         retainer: Retainer,
         lost: HomeId,
-    ): EndedHomeRecords? =
-        exchange.ask(retainer.address, EndHome(retainer.id, lost), RETAINER_TIMEOUT) as? EndedHomeRecords
+    ): List<LogRecord>? {
+        val records = ArrayList<LogRecord>()
+        var isComplete = false
+        try {
+            exchange(retainer.address, EndHome(retainer.id, lost)).timeout(RETAINER_TIMEOUT).collect { reply ->
+                if (reply is SomeHomeRecords) records += reply.records
+                if (reply is EndedHomeRecords) {
+                    records += reply.records
+                    isComplete = true
+                }
+            }
+        } catch (e: LinkException) {
+            log.info { "retainer ${retainer.host} did not send the records of $lost: ${e.message}" }
+        } catch (_: TimeoutCancellationException) {
+            currentCoroutineContext().ensureActive()
+            log.info { "retainer ${retainer.host} did not send the records of $lost within $RETAINER_TIMEOUT" }
+        }
+        return records.takeIf { isComplete }
+    }
 
     /**
      * Deletes the log of [lost] and the records that retainers keep of it, once [home] has committed its programs. The
@@ -384,7 +409,7 @@
          */
         val MERGED_ENTRY_LEASE = 10.minutes
 
-        /** Limit of one request to a retainer. */
+        /** The longest time to wait for the next reply of a retainer. */
         val RETAINER_TIMEOUT = 1.seconds
         val RETRY_DELAY = 300.milliseconds
     }
--- a/homes/src/test/kotlin/sycamore/homes/HomeFixture.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeFixture.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.asFlow
 import kotlinx.coroutines.flow.buffer
 import kotlinx.coroutines.flow.emitAll
 import kotlinx.coroutines.flow.flow
@@ -32,6 +33,7 @@
 import sycamore.links.Message
 import sycamore.links.MessageHandler
 import sycamore.links.RunTurn
+import sycamore.links.SomeHomeRecords
 import sycamore.links.TurnComplete
 import sycamore.links.TurnInterrupted
 import sycamore.links.TurnRefused
@@ -328,18 +330,22 @@
         @Suppress("UNUSED_PARAMETER") from: HostName,
         message: Message,
     ): Flow<Message> =
-        flowOf(
-            when (message) {
-                is CheckRetainer -> if (message.retainer == self.id) Done else Declined("another folder")
-                is KeepRecords -> keep(message)
-                is EndHome -> {
-                    ended += message.home
-                    EndedHomeRecords(message.home, kept[message.home]?.values?.toList().orEmpty())
-                }
-                is DropHomeRecords -> Done.also { kept.remove(message.home) }
-                else -> Unsupported
-            },
-        )
+        if (message is EndHome) {
+            ended += message.home
+            val records = kept[message.home]?.values.orEmpty()
+            val some = records.map { SomeHomeRecords(message.home, listOf(it)) }
+            (some + EndedHomeRecords(message.home, emptyList())).asFlow()
+        } else {
+            flowOf(reply(message))
+        }
+
+    private fun reply(message: Message): Message =
+        when (message) {
+            is CheckRetainer -> if (message.retainer == self.id) Done else Declined("another folder")
+            is KeepRecords -> keep(message)
+            is DropHomeRecords -> Done.also { kept.remove(message.home) }
+            else -> Unsupported
+        }
 
     private fun keep(message: KeepRecords): Message {
         if (message.retainer != self.id) return Declined("another folder")
--- a/links/src/main/kotlin/sycamore/links/TurnMessage.kt
+++ b/links/src/main/kotlin/sycamore/links/TurnMessage.kt
@@ -242,7 +242,7 @@
 
 /**
  * Notification of a successor to a retainer: [home] has ended. The receiver accepts nothing further of [home]. Answered
- * by [EndedHomeRecords].
+ * by [SomeHomeRecords], any number of times, and [EndedHomeRecords].
  */
 @Serializable
 @SerialName("end-home")
@@ -251,7 +251,15 @@
     val home: HomeId,
 ) : Message
 
-/** Reply to [EndHome]: the records of [home] that the sender has stored. */
+/** Reply to [EndHome], which is not the last one: some records of [home] that the sender has stored. */
+@Serializable
+@SerialName("some-records-of")
+data class SomeHomeRecords(
+    val home: HomeId,
+    val records: List<LogRecord>,
+) : Message
+
+/** Last reply to [EndHome]: the records of [home] that the sender has stored, without those that it has sent before. */
 @Serializable
 @SerialName("records-of")
 data class EndedHomeRecords(
--- a/retainer/src/main/kotlin/sycamore/retainer/RetainerDaemon.kt
+++ b/retainer/src/main/kotlin/sycamore/retainer/RetainerDaemon.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.FlowCollector
 import kotlinx.coroutines.flow.flow
 import kotlinx.coroutines.flow.flowOf
 import kotlinx.coroutines.launch
@@ -18,6 +19,7 @@
 import sycamore.links.EndedHomeRecords
 import sycamore.links.KeepRecords
 import sycamore.links.Message
+import sycamore.links.SomeHomeRecords
 import sycamore.links.Unsupported
 import sycamore.model.HostName
 import sycamore.model.validOrNull
@@ -32,6 +34,7 @@
 import sycamore.turns.HomeKeys
 import sycamore.turns.Retainer
 import sycamore.turns.RetainerKeys
+import sycamore.turns.groupBySize
 import java.nio.file.Path
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -56,7 +59,7 @@
         when (message) {
             is KeepRecords -> flow { emit(keep(message)) }
             is CheckRetainer -> flowOf(confirmServing(message))
-            is EndHome -> flow { emit(fence(message)) }
+            is EndHome -> flow { fence(message) }
             is DropHomeRecords ->
                 flow {
                     folder.apply(HomeDropped(message.home))
@@ -79,9 +82,13 @@
         return if (applied == null) Declined("home ${message.home} has ended") else Done
     }
 
-    private suspend fun fence(message: EndHome): Message {
-        if (message.retainer != folder.id) return Declined("the data folder here is ${folder.id}")
-        return EndedHomeRecords(message.home, folder.apply(HomeFenced(message.home)).orEmpty())
+    /** Ends the home that [message] names, and emits its records in messages that fit into frames, however many there are. */
+    private suspend fun FlowCollector<Message>.fence(message: EndHome) {
+        val home = message.home
+        if (message.retainer != folder.id) return emit(Declined("the data folder here is ${folder.id}"))
+        val groups = folder.apply(HomeFenced(home)).orEmpty().groupBySize(MAX_MESSAGE_BYTES)
+        groups.dropLast(1).forEach { emit(SomeHomeRecords(home, it)) }
+        emit(EndedHomeRecords(home, groups.lastOrNull().orEmpty()))
     }
 
     /** Registers this retainer and removes the registrations of previous ones on this host. */
@@ -168,6 +175,8 @@
     }
 
     companion object {
+        /** Limit of the records in one message. Several messages may wait for a slow successor. */
+        private const val MAX_MESSAGE_BYTES = 128 * 1024
         private val WRITE_RETRY_PAUSE = 200.milliseconds
 
         /**
--- a/turns/src/main/kotlin/sycamore/turns/LogSegment.kt
+++ b/turns/src/main/kotlin/sycamore/turns/LogSegment.kt
@@ -73,6 +73,21 @@
     val lastNumber: Long get() = records.lastOrNull()?.let { if (isContinued) it.number - 1 else it.number } ?: 0
 }
 
+/** These records in groups of at most [maxBytes] bytes. A record that is larger is a group of its own. */
+fun List<LogRecord>.groupBySize(maxBytes: Int): List<List<LogRecord>> {
+    val groups = ArrayList<ArrayList<LogRecord>>()
+    var bytes = 0L
+    for (record in this) {
+        bytes += record.bytes.size
+        if (groups.isEmpty() || bytes > maxBytes) {
+            groups += ArrayList<LogRecord>()
+            bytes = record.bytes.size.toLong()
+        }
+        groups.last() += record
+    }
+    return groups
+}
+
 /** The complete records of [segments], which follow one another in a log. The parts of a record are joined. */
 fun joinRecords(segments: List<LogSegment>): List<LogRecord> {
     val records = ArrayList<LogRecord>()
