Find silent connections to the store by one watch of each daemon

Change: each daemon keeps one watch of an unused key in progress. If the store does not answer it in time, but answers a read on a new connection, all connections to the store are closed, so that the other watches read their keys again.

--- a/forwarding/src/main/kotlin/sycamore/forwarding/StoreClient.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/StoreClient.kt
@@ -1,5 +1,7 @@
 package sycamore.forwarding
 
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
 import sycamore.daemon.Threads
 import sycamore.platform.PlatformBounds
 import sycamore.platform.StoreKeyValue
@@ -14,26 +16,24 @@
 /**
  * Creates a client of the platform's store.
  *
- * Its connections may fall silent while new ones work. A watch on such a connection fails in time for its keys to be read again
- * within [PlatformBounds.stableTime].
+ * Its connections may fall silent while new ones work. [scope] runs a [SilenceDetector], which finds them in time for all watched keys to
+ * be read again within [PlatformBounds.stableTime].
  */
 internal fun storeClient(
     settings: StoreSettings,
     bounds: PlatformBounds,
-): KeyValueClient =
-    keyValueClient(
-        StoreKeyValue(
-            settings.address,
-            StoreHttp.client(),
-            Threads.blocking,
-            maxValueBytes = settings.maxValueBytes,
-        ),
-    ) {
+    scope: CoroutineScope,
+): KeyValueClient {
+    val http = StoreHttp()
+    val store = StoreKeyValue(settings.address, http, Threads.blocking, maxValueBytes = settings.maxValueBytes)
+    val wait = bounds.stableTime / 2
+    val detector = SilenceDetector(wait, answerTimeout = wait / 2, store, closeConnections = http::closeConnections)
+    scope.launch { detector.run() }
+    return keyValueClient(store) {
         // Far above the calls of a healthy daemon. The store's call rate is shared by all processes, and a faulty daemon must not
         // use it up.
         callsPerSecond = 20.0
         burst = 60
         timeout = CALL_TIMEOUT
-        maxWatchWait = bounds.stableTime / 2
-        watchTimeout = minOf(CALL_TIMEOUT, bounds.stableTime / 4)
     }
+}
--- a/forwarding/src/main/kotlin/sycamore/forwarding/StoreHttp.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/StoreHttp.kt
@@ -18,36 +18,26 @@
  *
  * http4k's own client buffers responses of at most 2 MiB. A page of the store is longer if its values do not compress.
  */
-internal object StoreHttp {
-    private const val MAX_THREADS = 8
-    private const val MIN_THREADS = 2
+internal class StoreHttp : HttpHandler {
+    private val transport = ClientTransport(onStrayBytes = AnswerRecord::logStrayBytes)
+    private val client =
+        HttpClient(transport).apply {
+            executor = QueuedThreadPool(MAX_THREADS, MIN_THREADS)
+            isFollowRedirects = false
+            maxResponseHeadersSize = UpstreamClient.MAX_HEAD_BYTES
+            start()
+        }
 
-    /** Several times the size of a page of the store, which holds 1 MB of values as base64 text. */
-    private const val MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+    /** Closes all connections. The calls that wait for an answer on one of them fail. */
+    fun closeConnections() = transport.closeConnections()
 
     /**
-     * Creates a client whose connections use TCP keep-alive probes.
+     * Sends [request] on a connection with TCP keep-alive probes.
      *
      * A call that is interrupted, since it got no answer in time, closes its connection and those without a call. What has
      * silenced one open connection may have silenced all of them, although their peers' systems may answer the probes.
      */
-    fun client(): HttpHandler {
-        val transport = ClientTransport(onStrayBytes = AnswerRecord::logStrayBytes)
-        val client =
-            HttpClient(transport).apply {
-                executor = QueuedThreadPool(MAX_THREADS, MIN_THREADS)
-                isFollowRedirects = false
-                maxResponseHeadersSize = UpstreamClient.MAX_HEAD_BYTES
-                start()
-            }
-        return { request -> call(client, transport, request) }
-    }
-
-    private fun call(
-        client: HttpClient,
-        transport: ClientTransport,
-        request: Request,
-    ): Response {
+    override fun invoke(request: Request): Response {
         val jetty = client.newRequest(request.uri.toString()).method(request.method.name)
         jetty.headers { fields -> request.headers.forEach { (name, value) -> fields.add(name, value.orEmpty()) } }
         val body = request.body.payload
@@ -76,4 +66,12 @@
         ) { response, field ->
             response.header(field.name, field.value)
         }
+
+    private companion object {
+        const val MAX_THREADS = 8
+        const val MIN_THREADS = 2
+
+        /** Several times the size of a page of the store, which holds 1 MB of values as base64 text. */
+        const val MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+    }
 }
--- a/forwarding/src/test/kotlin/sycamore/forwarding/SilentStoreTest.kt
+++ b/forwarding/src/test/kotlin/sycamore/forwarding/SilentStoreTest.kt
@@ -1,8 +1,11 @@
 package sycamore.forwarding
 
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.cancel
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
@@ -34,11 +37,15 @@
 
     /** The stable time is longer than on the platform, so that a busy machine does not matter. */
     private val bounds = PlatformBounds(2.5.seconds, 8.seconds, 2.5.seconds, stableTime = 8.seconds, 1.seconds)
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val client =
-        storeClient(StoreSettings(Address("127.0.0.1", listener.localPort), 400.0, 2000.0, 1 shl 20), bounds)
+        storeClient(StoreSettings(Address("127.0.0.1", listener.localPort), 400.0, 2000.0, 1 shl 20), bounds, scope)
 
     @AfterTest
-    fun stop() = listener.close()
+    fun stop() {
+        scope.cancel()
+        listener.close()
+    }
 
     @Test
     fun `a change is seen within the stable time although all open connections to the store are silent`() =
@@ -130,20 +137,23 @@
         private fun answer(requestLine: String) {
             val known = value
             val target = requestLine.split(' ')[1]
+            val isWatched = "prefix=a" in target
             if ("kv-watch" in target) {
                 val wait = Regex("wait_ms=(\\d+)").find(target)!!.groupValues[1].toLong()
                 val end = System.nanoTime() + wait * NANOS_PER_MILLI
-                while (value == known && System.nanoTime() < end) Thread.sleep(POLL_MILLIS)
+                while ((value == known || !isWatched) && System.nanoTime() < end) Thread.sleep(POLL_MILLIS)
             }
             if (isSilent) return
-            val changed = if (value == known) "" else item()
+            val changed = if (value == known || !isWatched) "" else item()
             val body =
                 when {
                     "kv-watch" in target -> """{"events":[$changed],"at":${revision()}}"""
                     "kv-range" in target -> """{"items":[${item()}],"has_more":false,"at":${revision()}}"""
-                    else -> item()
+                    "key=a" in target -> item()
+                    else -> """{"at":${revision()}}"""
                 }
-            val response = "HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n$body"
+            val status = if ("kv-key" in target && "key=a" !in target) "404 Not Found" else "200 OK"
+            val response = "HTTP/1.1 $status\r\nContent-Length: ${body.length}\r\n\r\n$body"
             socket.getOutputStream().write(response.encodeToByteArray())
         }
 
--- a/forwarding/src/test/kotlin/sycamore/forwarding/StoreHttpTest.kt
+++ b/forwarding/src/test/kotlin/sycamore/forwarding/StoreHttpTest.kt
@@ -22,7 +22,7 @@
         val text = "x".repeat(5_000_000)
         val port = freePort()
         val server = Http.serve(Address("127.0.0.1", port), { Response(Status.OK).body(text) })
-        val response = StoreHttp.client()(Request(Method.GET, "http://127.0.0.1:$port/page"))
+        val response = StoreHttp()(Request(Method.GET, "http://127.0.0.1:$port/page"))
         assertEquals(text, response.bodyString())
         server.stop()
     }
@@ -37,14 +37,14 @@
                     .body(request.bodyString())
             })
         val request = Request(Method.POST, "http://127.0.0.1:$port/").header("X-Sent", "1").body("{}")
-        val reply = StoreHttp.client()(request)
+        val reply = StoreHttp()(request)
         assertEquals(listOf(412, "1", "{}"), listOf(reply.status.code, reply.header("X-Echo"), reply.bodyString()))
         server.stop()
     }
 
     @Test
     fun `a refused connection is reported as such`() {
-        val response = StoreHttp.client()(Request(Method.GET, "http://127.0.0.1:${freePort()}/"))
+        val response = StoreHttp()(Request(Method.GET, "http://127.0.0.1:${freePort()}/"))
         assertEquals(Status.CONNECTION_REFUSED.code, response.status.code)
     }
 }
--- a/forwarding/src/test/kotlin/sycamore/forwarding/TruncatedResponseTest.kt
+++ b/forwarding/src/test/kotlin/sycamore/forwarding/TruncatedResponseTest.kt
@@ -126,7 +126,7 @@
         }
 
     private fun callStore(server: RawServer): String =
-        StoreHttp.client()(Request(Method.GET, "http://${server.address}/a")).bodyString()
+        StoreHttp()(Request(Method.GET, "http://${server.address}/a")).bodyString()
 
     private fun tests(
         cases: Map<String, String>,
--- a/services/src/main/kotlin/sycamore/services/KeyValueClient.kt
+++ b/services/src/main/kotlin/sycamore/services/KeyValueClient.kt
@@ -15,8 +15,6 @@
     private val limit: RateLimit,
     private val maxWait: Duration,
     private val timeout: Duration,
-    private val maxWatchWait: Duration,
-    private val watchTimeout: Duration,
 ) : KeyValue {
     /** The counts of the calls made so far. */
     val counts = CallCounts()
@@ -30,10 +28,7 @@
         prefix: String,
         after: Revision,
         wait: Duration,
-    ): ReadResult<List<Item>> {
-        val bounded = wait.coerceAtMost(maxWatchWait)
-        return read(CallKind.WATCH, watchTimeout + bounded) { keys.changes(prefix, after, bounded) }
-    }
+    ): ReadResult<List<Item>> = read(CallKind.WATCH, timeout + wait) { keys.changes(prefix, after, wait) }
 
     override suspend fun put(
         key: String,
@@ -101,20 +96,14 @@
         /** The longest time that a call waits because of the rate limit before it fails as not sent. */
         var maxWait: Duration = 5.seconds
 
-        /** The longest time to wait for an answer to a call other than a watch. */
+        /** The longest time to wait for an answer; for a watch, in addition to its own waiting time. */
         var timeout: Duration = 2.seconds
 
-        /** The longest time that the service may hold a watch open. It limits how late a silent connection is detected. */
-        var maxWatchWait: Duration = Duration.INFINITE
-
-        /** The longest time to wait for an answer to a watch, in addition to its own waiting time. */
-        var watchTimeout: Duration = 2.seconds
-
         /** The time source of the rate limit. */
         var time: TimeSource = TimeSource.Monotonic
 
         internal fun build(keys: KeyValue) =
-            KeyValueClient(keys, RateLimit(callsPerSecond, burst, time), maxWait, timeout, maxWatchWait, watchTimeout)
+            KeyValueClient(keys, RateLimit(callsPerSecond, burst, time), maxWait, timeout)
     }
 
     private companion object {
