--- a/soak/src/main/kotlin/sycamore/soak/Relay.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Relay.kt
@@ -2,8 +2,6 @@
 
 import sycamore.model.Address
 import java.io.IOException
-import java.io.InputStream
-import java.io.OutputStream
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
@@ -67,12 +65,12 @@
             }
         val pipe = Pipe(near, far).also { pipes += it }
         thread(isDaemon = true) {
-            copy(pipe, near.getInputStream(), far.getOutputStream())
+            copy(pipe, near, far)
             pipe.close()
             pipes -= pipe
         }
         thread(isDaemon = true) {
-            copy(pipe, far.getInputStream(), near.getOutputStream())
+            copy(pipe, far, near)
             // A silenced connection does not pass on its end either.
             if (!pipe.isSilent) pipe.close()
         }
@@ -80,15 +78,15 @@
 
     private fun copy(
         pipe: Pipe,
-        from: InputStream,
-        to: OutputStream,
+        from: Socket,
+        to: Socket,
     ) {
         val buffer = ByteArray(BUFFER_BYTES)
         try {
             while (true) {
-                val count = from.read(buffer)
+                val count = from.getInputStream().read(buffer)
                 if (count < 0) break
-                if (!pipe.isSilent) to.write(buffer, 0, count)
+                if (!pipe.isSilent) to.getOutputStream().write(buffer, 0, count)
             }
         } catch (_: IOException) {
             // One of the two ends is gone.
