Log the age of the configuration, and by which read a version came

The lines of a gateway could not tell a missed change from one that was applied late: a version was logged without the read by which it came, and a refused or routed call without the time since the store last answered the watch. Logs only; what is watched and applied stays as it was.

--- a/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
@@ -151,6 +151,7 @@
             "status" to error.status,
             "detail" to detail,
             "version" to generation,
+            "config_age_ms" to routes.age?.inWholeMilliseconds,
             isExceptional = error == GatewayError.NOT_RUN,
         )
     }
@@ -167,6 +168,7 @@
         "previous" to call.head.previous,
         "route" to call.route.name,
         "version" to generation,
+        "config_age_ms" to routes.age?.inWholeMilliseconds,
         "service" to call.service,
         "home" to call.trace.home,
         "upstream" to call.trace.upstream,
--- a/gateway/src/main/kotlin/sycamore/gateway/RoutesInForce.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/RoutesInForce.kt
@@ -4,13 +4,16 @@
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
+import sycamore.daemon.log.event
 import sycamore.platform.Configurations
 import sycamore.platform.StoreKeys
 import sycamore.routing.RouteTable
 import sycamore.services.Item
 import sycamore.services.KeyValue
+import sycamore.services.WatchAge
 import sycamore.services.WatchEvent
 import sycamore.services.follow
+import kotlin.time.Duration
 
 private val log = KotlinLogging.logger {}
 
@@ -23,21 +26,36 @@
     /** The current routes; null until a configuration was read. */
     val table: StateFlow<RouteTable?> = state.asStateFlow()
 
+    private val watchAge = WatchAge()
+
+    /** The time since the store last confirmed that there is no newer configuration; null before the first answer. */
+    val age: Duration? get() = watchAge.elapsed
+
     /** Watches the configuration until cancelled. */
     suspend fun run() {
-        keyValue.follow(StoreKeys.CONFIGURATION, ::logFailure) { watched ->
+        keyValue.follow(StoreKeys.CONFIGURATION, ::logFailure, age = watchAge) { watched ->
             when (watched) {
-                is WatchEvent.Snapshot -> watched.items.forEach(::applyConfiguration)
-                is WatchEvent.Changes -> watched.items.forEach(::applyConfiguration)
-                is WatchEvent.Unreachable -> log.info { "cannot watch the configuration at present: ${watched.reason}" }
+                is WatchEvent.Snapshot -> watched.items.forEach { applyConfiguration(it, read = "list") }
+                is WatchEvent.Changes -> watched.items.forEach { applyConfiguration(it, read = "watch") }
+                is WatchEvent.Unreachable -> logUnreachable(watched.reason)
             }
         }
     }
 
+    private fun logUnreachable(reason: String) =
+        log.event(
+            "cannot watch the configuration at present: $reason",
+            "version" to state.value?.generation,
+            "config_age_ms" to age?.inWholeMilliseconds,
+        )
+
     private fun logFailure(cause: Exception) =
         log.error(cause) { "following the configuration failed; it is read again" }
 
-    private fun applyConfiguration(item: Item) {
+    private fun applyConfiguration(
+        item: Item,
+        read: String,
+    ) {
         if (item.key != StoreKeys.CONFIGURATION) return
         val value = item.value ?: return
         val table = Configurations.decode(value)
@@ -48,6 +66,11 @@
         val current = state.value
         if (current != null && table.generation <= current.generation) return
         state.value = table
-        log.info { "applied configuration ${table.generation} with ${table.routes.size} routes" }
+        log.event(
+            "applied configuration ${table.generation} with ${table.routes.size} routes",
+            "revision" to item.version,
+            "read" to read,
+            "config_age_ms" to age?.inWholeMilliseconds,
+        )
     }
 }
--- a/services/src/main/kotlin/sycamore/services/Watch.kt
+++ b/services/src/main/kotlin/sycamore/services/Watch.kt
@@ -9,6 +9,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeMark
 import kotlin.time.TimeSource
 
 /** An event emitted by [watch]. */
@@ -31,6 +32,21 @@
     ) : WatchEvent
 }
 
+/** The age of what a watch knows: the time since the service last answered it. */
+class WatchAge(
+    private val time: TimeSource = TimeSource.Monotonic,
+) {
+    @Volatile
+    private var answeredAt: TimeMark? = null
+
+    /** The time since the last answer, an empty one included; null before the first one. */
+    val elapsed: Duration? get() = answeredAt?.elapsedNow()
+
+    internal fun recordAnswer() {
+        answeredAt = time.markNow()
+    }
+}
+
 /**
  * The timings of a [watch].
  *
@@ -52,12 +68,15 @@
  * or a stale replica answered), all keys are read again. A change may be emitted twice, and states that are older than
  * ones already emitted may follow a [WatchEvent.Snapshot]; receivers that must not apply older states compare
  * generations of their own.
+ *
+ * @param age is set after each answer has been emitted, so that a receiver finds the time since the answer before.
  */
 fun KeyValue.watch(
     prefix: String,
     times: WatchTimings = WatchTimings(),
     backoff: Backoff = Backoff(),
     time: TimeSource = TimeSource.Monotonic,
+    age: WatchAge = WatchAge(time),
 ): Flow<WatchEvent> =
     flow {
         while (true) {
@@ -65,7 +84,8 @@
                 is ReadResult.Found -> {
                     backoff.reset()
                     emit(WatchEvent.Snapshot(listed.value, listed.revision))
-                    changesAfter(prefix, listed.revision, times, time).collect { emit(it) }
+                    age.recordAnswer()
+                    changesAfter(prefix, listed.revision, times, time, age).collect { emit(it) }
                 }
                 is ReadResult.Unreachable -> {
                     emit(WatchEvent.Unreachable(listed.reason))
@@ -83,12 +103,13 @@
     prefix: String,
     onFailure: (Exception) -> Unit,
     times: WatchTimings = WatchTimings(),
+    age: WatchAge = WatchAge(),
     receive: suspend (WatchEvent) -> Unit,
 ): Nothing {
     val pauses = Backoff.shortPauses()
     while (true) {
         try {
-            watch(prefix, times, Backoff.shortPauses()).collect {
+            watch(prefix, times, Backoff.shortPauses(), age = age).collect {
                 receive(it)
                 pauses.reset()
             }
@@ -106,6 +127,7 @@
     start: Revision,
     times: WatchTimings,
     time: TimeSource,
+    age: WatchAge,
 ): Flow<WatchEvent> =
     flow {
         val started = time.markNow()
@@ -115,9 +137,8 @@
             if (read is ReadResult.Unreachable) emit(WatchEvent.Unreachable(read.reason))
             if (read !is ReadResult.Found || read.revision < latest) return@flow
             latest = maxOf(read.revision, read.value.maxOfOrNull { it.version } ?: latest)
-            if (read.value.isNotEmpty()) {
-                emit(WatchEvent.Changes(read.value, latest))
-                delay(times.pause)
-            }
+            if (read.value.isNotEmpty()) emit(WatchEvent.Changes(read.value, latest))
+            age.recordAnswer()
+            if (read.value.isNotEmpty()) delay(times.pause)
         }
     }
--- a/standins/src/test/kotlin/sycamore/standins/WatchTest.kt
+++ b/standins/src/test/kotlin/sycamore/standins/WatchTest.kt
@@ -10,6 +10,7 @@
 import sycamore.services.Item
 import sycamore.services.KeyValue
 import sycamore.services.Revision
+import sycamore.services.WatchAge
 import sycamore.services.WatchEvent
 import sycamore.services.WatchTimings
 import sycamore.services.WriteResult
@@ -153,4 +154,20 @@
             delay(1.hours)
             assertTrue(client.counts.total in 120..132, "${client.counts.byKind()}")
         }
+
+    /** Guards against an incident like CONFIG whose logs do not tell whether a daemon still heard from the store. */
+    @Test
+    fun `the age of a watch grows from its last answer on, whether or not something changed`() =
+        runTest {
+            val store = FaultyKeyValue(KeyValueStore(testTimeSource), testTimeSource)
+            val age = WatchAge(testTimeSource)
+            val times = WatchTimings(wait = 30.seconds)
+            backgroundScope.launch { store.watch("a/", times, time = testTimeSource, age = age).collect {} }
+            assertEquals(null, age.elapsed)
+            delay(40.seconds)
+            assertEquals(10.seconds, age.elapsed)
+            store.setFaults(KeyValueFaults(down = true))
+            delay(1.minutes)
+            assertEquals(70.seconds, age.elapsed)
+        }
 }
