Show two ways in which a silent watch of the store is not detected

What callers saw: requests were run by the former service of their route long after the version that moves it was acknowledged.

--- a/forwarding/src/test/kotlin/sycamore/forwarding/SilentStoreTest.kt
+++ b/forwarding/src/test/kotlin/sycamore/forwarding/SilentStoreTest.kt
@@ -26,6 +26,7 @@
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -49,22 +50,47 @@
 
     @Test
     fun `a change is seen within the stable time although all open connections to the store are silent`() =
+        assertChangeIsSeen {
+            // Leaves several idle connections.
+            coroutineScope { List(IDLE_CONNECTIONS) { async { client.get("a") } }.awaitAll() }
+            delay(500.milliseconds)
+            assertTrue(store.silenceConnections() > 1, "connections that were silenced")
+        }
+
+    /** Guards against CONFIG: a daemon whose other connections to the store were sound. */
+    @Test
+    fun `a change is seen within the stable time although only the connection of its watch is silent`() =
+        assertChangeIsSeen {
+            delay(500.milliseconds)
+            assertEquals(1, store.silenceConnections { it.isWatching(KEY) })
+        }
+
+    /** Guards against CONFIG: connections that fell silent while the store turned the daemon away. */
+    @Test
+    fun `a change is seen within the stable time although connections fell silent in an outage of the store`() =
+        assertChangeIsSeen {
+            delay(500.milliseconds)
+            store.isRefusing = true
+            // Calls of each kind have been refused by then.
+            delay(bounds.stableTime)
+            store.silenceConnections()
+            store.isRefusing = false
+        }
+
+    private fun assertChangeIsSeen(disturb: suspend () -> Unit) =
         runBlocking(Dispatchers.Default) {
             val seen = Channel<String>(Channel.UNLIMITED)
             val following =
                 launch {
-                    client.follow("a", onFailure = { seen.close(it) }) { event ->
+                    client.follow(KEY, onFailure = { seen.close(it) }) { event ->
                         itemsOf(event).forEach { seen.send(it.value!!.decodeToString()) }
                     }
                 }
             assertEquals("1", withTimeoutOrNull(bounds.stableTime) { seen.receive() })
-            // Leaves several idle connections.
-            coroutineScope { List(IDLE_CONNECTIONS) { async { client.get("a") } }.awaitAll() }
-            delay(500.milliseconds)
-            store.silenceOpenConnections()
+            disturb()
             store.value = "2"
-            assertEquals("2", withTimeoutOrNull(bounds.stableTime) { seen.receive() })
-            assertTrue(store.silenced > 1, "connections that were silenced")
+            val isSeen = withTimeoutOrNull(bounds.stableTime) { while (seen.receive() != "2") continue }
+            assertNotNull(isSeen, "the change was not seen within ${bounds.stableTime}")
             following.cancel()
         }
 
@@ -80,6 +106,9 @@
     }
 }
 
+/** The only key of a [SilencedStore]. */
+private const val KEY = "a"
+
 /**
  * A store with one key, `a`. Connections that are silenced accept requests and answer none, and the system answers keep-alive
  * probes on them.
@@ -89,11 +118,11 @@
 ) {
     @Volatile
     var value = "1"
-    private val connections = ArrayList<Connection>()
 
-    /** The number of connections that were silenced. */
-    var silenced = 0
-        private set
+    /** Whether new calls are answered with 503. Watches in progress go on. */
+    @Volatile
+    var isRefusing = false
+    private val connections = ArrayList<Connection>()
 
     init {
         thread(isDaemon = true) {
@@ -106,23 +135,29 @@
         }
     }
 
-    fun silenceOpenConnections() =
-        synchronized(connections) {
-            silenced = connections.size
-            connections.forEach { it.isSilent = true }
-        }
+    /** Silences those of the open connections that [isSelected], and returns how many these are. */
+    fun silenceConnections(isSelected: (Connection) -> Boolean = { true }): Int =
+        synchronized(connections) { connections.filter(isSelected).onEach { it.isSilent = true }.size }
 
-    private inner class Connection(
+    inner class Connection(
         private val socket: Socket,
     ) {
         @Volatile
         var isSilent = false
 
+        /** The request that is being answered; null if there is none. */
+        @Volatile
+        private var request: String? = null
+
+        fun isWatching(prefix: String) = request?.let { "kv-watch" in it && "prefix=$prefix" in it } == true
+
         fun serve() {
             try {
                 socket.use { while (true) answer(readRequestLine() ?: break) }
             } catch (_: IOException) {
                 // The client has closed the connection.
+            } finally {
+                synchronized(connections) { connections -= this }
             }
         }
 
@@ -135,6 +170,8 @@
         }
 
         private fun answer(requestLine: String) {
+            if (isRefusing && !isSilent) return write("503 Service Unavailable", "{}")
+            request = requestLine
             val known = value
             val target = requestLine.split(' ')[1]
             val isWatched = "prefix=a" in target
@@ -153,6 +190,14 @@
                     else -> """{"at":${revision()}}"""
                 }
             val status = if ("kv-key" in target && "key=a" !in target) "404 Not Found" else "200 OK"
+            request = null
+            write(status, body)
+        }
+
+        private fun write(
+            status: String,
+            body: String,
+        ) {
             val response = "HTTP/1.1 $status\r\nContent-Length: ${body.length}\r\n\r\n$body"
             socket.getOutputStream().write(response.encodeToByteArray())
         }
