Find a silent connection to the store by the watch that waits on it

What callers saw: requests were run by the former service of their route, or refused with 404, up to half a minute after the version that allows otherwise was acknowledged, whenever the connection with the watch of the configuration was silent and others were not, or had fallen silent while the store refused calls.

It judged only its own connection, and after a failed call it started anew without asking about the others.

The detector is removed.

--- a/forwarding/src/main/kotlin/sycamore/forwarding/ClientTransport.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/ClientTransport.kt
@@ -34,9 +34,6 @@
     /** Closes the connections without a request in progress. The next requests are sent on new ones. */
     fun closeIdleConnections() = connections.filter { it.isIdle }.forEach { it.close() }
 
-    /** Closes all connections. Requests in progress fail. */
-    fun closeConnections() = connections.forEach { it.close() }
-
     private class CloseListener(
         private val onClosed: () -> Unit,
     ) : Connection.Listener {
--- a/forwarding/src/main/kotlin/sycamore/forwarding/PlatformDaemon.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/PlatformDaemon.kt
@@ -3,9 +3,6 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.cli.ArgType
 import kotlinx.cli.default
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
-import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import org.http4k.core.Request
@@ -45,11 +42,8 @@
     @Volatile
     private var bounds = settings.bounds
 
-    /** Runs until the process ends. */
-    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-
     /** The client of the platform's key-value service. */
-    val keyValue = storeClient(settings.store, settings.bounds, scope)
+    val keyValue = storeClient(settings.store, settings.bounds)
 
     /** The client side of the links to other daemons. */
     val links = LinkClient(settings.name, bounds = LINK_BOUNDS)
--- a/forwarding/src/main/kotlin/sycamore/forwarding/StoreHttp.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/StoreHttp.kt
@@ -28,9 +28,6 @@
             start()
         }
 
-    /** Closes all connections. The calls that wait for an answer on one of them fail. */
-    fun closeConnections() = transport.closeConnections()
-
     /**
      * Sends [request] on a connection with TCP keep-alive probes.
      *
--- a/forwarding/src/test/kotlin/sycamore/forwarding/SilentStoreTest.kt
+++ b/forwarding/src/test/kotlin/sycamore/forwarding/SilentStoreTest.kt
@@ -1,11 +1,8 @@
 package sycamore.forwarding
 
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
-import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
-import kotlinx.coroutines.cancel
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
@@ -38,13 +35,11 @@
 
     /** The stable time is longer than on the platform, so that a busy machine does not matter. */
     private val bounds = PlatformBounds(2.5.seconds, 8.seconds, 2.5.seconds, stableTime = 8.seconds, 1.seconds)
-    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val client =
-        storeClient(StoreSettings(Address("127.0.0.1", listener.localPort), 400.0, 2000.0, 1 shl 20), bounds, scope)
+        storeClient(StoreSettings(Address("127.0.0.1", listener.localPort), 400.0, 2000.0, 1 shl 20), bounds)
 
     @AfterTest
     fun stop() {
-        scope.cancel()
         listener.close()
     }
 
--- a/services/src/main/kotlin/sycamore/services/KeyValueClient.kt
+++ b/services/src/main/kotlin/sycamore/services/KeyValueClient.kt
@@ -15,6 +15,8 @@
     private val limit: RateLimit,
     private val maxWait: Duration,
     private val timeout: Duration,
+    private val maxWatchWait: Duration,
+    private val maxWatchDelay: Duration,
 ) : KeyValue {
     /** The counts of the calls made so far. */
     val counts = CallCounts()
@@ -28,7 +30,10 @@
         prefix: String,
         after: Revision,
         wait: Duration,
-    ): ReadResult<List<Item>> = read(CallKind.WATCH, timeout + wait) { keys.changes(prefix, after, wait) }
+    ): ReadResult<List<Item>> {
+        val limited = minOf(wait, maxWatchWait)
+        return read(CallKind.WATCH, limited + maxWatchDelay) { keys.changes(prefix, after, limited) }
+    }
 
     override suspend fun put(
         key: String,
@@ -96,14 +101,30 @@
         /** The longest time that a call waits because of the rate limit before it fails as not sent. */
         var maxWait: Duration = 5.seconds
 
-        /** The longest time to wait for an answer; for a watch, in addition to its own waiting time. */
+        /** The longest time to wait for an answer to a call other than a watch. */
         var timeout: Duration = 2.seconds
 
+        /**
+         * The longest time that a watch waits. Longer ones are answered after this time, without changes. Only an answer
+         * shows that the connection of a watch is sound.
+         */
+        var maxWatchWait: Duration = 30.seconds
+
+        /** The longest time by which the answer to a watch may be late. */
+        var maxWatchDelay: Duration = 2.seconds
+
         /** The time source of the rate limit. */
         var time: TimeSource = TimeSource.Monotonic
 
         internal fun build(keys: KeyValue) =
-            KeyValueClient(keys, RateLimit(callsPerSecond, burst, time), maxWait, timeout)
+            KeyValueClient(
+                keys,
+                RateLimit(callsPerSecond, burst, time),
+                maxWait,
+                timeout,
+                maxWatchWait,
+                maxWatchDelay,
+            )
     }
 
     private companion object {
--- a/standins/src/test/kotlin/sycamore/standins/KeyValueClientTest.kt
+++ b/standins/src/test/kotlin/sycamore/standins/KeyValueClientTest.kt
@@ -75,4 +75,22 @@
             keys.setFaults { it.copy(down = false, delay = 10.milliseconds) }
             assertIs<ReadResult.Found<*>>(retryRead(Duration.INFINITE) { keys.get("k") })
         }
+
+    /** Guards against CONFIG: a watch that waits on a silent connection for as long as its caller would wait for a change. */
+    @Test
+    fun `a watch is answered or fails after the limit of the client, however long it may wait`() =
+        runTest {
+            val keys = FaultyKeyValue(KeyValueStore(testTimeSource), testTimeSource)
+            val client =
+                keyValueClient(keys) {
+                    time = testTimeSource
+                    maxWatchWait = 3.seconds
+                    maxWatchDelay = 1.seconds
+                }
+            assertIs<ReadResult.Found<*>>(client.changes("k", Revision.ABSENT, 30.seconds))
+            assertEquals(3_000, currentTime)
+            keys.setFaults { it.copy(delay = 1.hours) }
+            assertIs<ReadResult.Unreachable>(client.changes("k", Revision.ABSENT, 30.seconds))
+            assertEquals(7_000, currentTime)
+        }
 }
