Fault soak: rule CONFIG, with a random share of silent connections to the store

The soak silenced all connections of a daemon at once, outside of other faults, and no caller looked at routes that change. A probe at each gateway now calls the routes that were added and dropped last; an answer that only an older version allows, sent later than config_apply_ms after the acknowledgement at a gateway in touch, is reported. SILENCE takes 0.3, 0.6 or all of a daemon's connections.

--- a/soak/src/main/kotlin/sycamore/soak/Deployment.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Deployment.kt
@@ -70,6 +70,10 @@
     /** The upstreams whose registration is not renewed at present. */
     val lapsed: MutableSet<Upstream> = ConcurrentHashMap.newKeySet()
 
+    /** The extra routes of the configurations that were published. */
+    val routes = RouteHistory()
+
+    private val configurations = Mutex()
     private val registrations = Mutex()
     private val written = HashMap<Upstream, String>()
     private var version = 0
@@ -83,26 +87,27 @@
         daemons.forEach(Daemon::start)
     }
 
-    /** Publishes a new configuration, in which the standard routes stay as they were. */
-    suspend fun configure(hasExtraRoute: Boolean) {
-        version++
-        val extra = if (hasExtraRoute) "/extra$version/" else null
-        put(
-            StoreKeys.CONFIGURATION,
-            SampleDocuments.configurationOfAllKinds(
-                version,
-                HOST,
-                CallKind.TURN.prefix,
-                ENGINES,
-                CallKind.REPEATABLE.prefix,
-                CallKind.ONCE.prefix,
-                PLAIN,
-                extra,
-                callTime = plan.deadline,
-                turnTime = plan.deadline + TURN_RESERVE,
-            ),
+    /** Publishes a new configuration, in which the standard routes stay as they were and an earlier extra route is dropped. */
+    suspend fun configure(hasExtraRoute: Boolean) =
+        configurations.withLock {
+            version++
+            val extra = if (hasExtraRoute) ChangingRoute("/extra$version/") else null
+            routes.replace(extra) { put(StoreKeys.CONFIGURATION, configuration(extra?.prefix)) }
+        }
+
+    private fun configuration(extra: String?): ByteArray =
+        SampleDocuments.configurationOfAllKinds(
+            version,
+            HOST,
+            CallKind.TURN.prefix,
+            ENGINES,
+            CallKind.REPEATABLE.prefix,
+            CallKind.ONCE.prefix,
+            PLAIN,
+            extra,
+            callTime = plan.deadline,
+            turnTime = plan.deadline + TURN_RESERVE,
         )
-    }
 
     /** Writes [value] at [key] as another writer of the store would; null removes it. */
     suspend fun put(
@@ -120,8 +125,11 @@
 
     fun oddEntries(): List<ByteArray> = SampleDocuments.oddEntries(PLAIN, Address("$network.1", 1), PLACE)
 
-    /** Silences the open connections of [daemon] to the store. */
-    fun silenceStore(daemon: Daemon) = storeRelays.getValue(daemon).silence()
+    /** Silences those of the open connections of [daemon] to the store for which [isSelected] returns true. */
+    fun silenceStore(
+        daemon: Daemon,
+        isSelected: () -> Boolean,
+    ) = storeRelays.getValue(daemon).silence(isSelected)
 
     fun callersAddress(gateway: Daemon) = InetSocketAddress(gateway.ip, CALLERS_PORT)
 
--- a/soak/src/main/kotlin/sycamore/soak/FaultInjector.kt
+++ b/soak/src/main/kotlin/sycamore/soak/FaultInjector.kt
@@ -54,7 +54,7 @@
             OutsideFault.STORE -> disturbStore(storeFaults.random(random), targets, length)
             OutsideFault.UPSTREAMS -> changeUpstreams(length)
             OutsideFault.LEAVE -> leave(length)
-            OutsideFault.SILENCE -> targets.forEach { silence(it) }
+            OutsideFault.SILENCE -> targets.forEach { silence(it, silentShares.random(random)) }
         }
     }
 
@@ -90,8 +90,16 @@
         }
     }
 
-    private fun CoroutineScope.silence(target: Daemon) {
-        launch { log.record(OutsideFault.SILENCE, target) { deployment.silenceStore(target) } }
+    private fun CoroutineScope.silence(
+        target: Daemon,
+        share: Double,
+    ) {
+        val choices = Random(random.nextLong())
+        launch {
+            log.record(OutsideFault.SILENCE, target) {
+                deployment.silenceStore(target) { choices.nextDouble() < share }
+            }
+        }
     }
 
     private fun CoroutineScope.configure(hasExtraRoute: Boolean) {
@@ -186,6 +194,9 @@
         const val ODD_ENTRIES = 3
         val LAPSE_TIME = 3.seconds
 
+        /** The shares of a daemon's connections to the store that fall silent. */
+        val silentShares = listOf(0.3, 0.6, 1.0)
+
         val storeFaults =
             listOf(
                 KeyValueFaults(down = true),
--- a/soak/src/main/kotlin/sycamore/soak/FaultLog.kt
+++ b/soak/src/main/kotlin/sycamore/soak/FaultLog.kt
@@ -23,7 +23,7 @@
     /** An upstream leaves after it has announced it. It completes all calls. */
     LEAVE(false, mayCut = false),
 
-    /** The open connections of a daemon to the store fall silent. New ones work. */
+    /** Some or all open connections of a daemon to the store fall silent. New ones work. */
     SILENCE(false, mayCut = false),
 }
 
@@ -86,6 +86,18 @@
             entry.fault in INTERRUPTIONS && entry.target === daemon && (until == null || until > since)
         }
 
+    /** Whether nothing has kept [daemon] from its work or from the store for the stable time before [moment]. */
+    fun isInTouch(
+        daemon: Daemon,
+        moment: ComparableTimeMark,
+    ): Boolean =
+        entries.none { entry ->
+            val until = entry.until
+            entry.fault in DISCONNECTIONS &&
+                entry.target === daemon &&
+                (until == null || until + SETTLING_TIME > moment)
+        }
+
     /** The time from which the connections of [daemon] to the store have to work again; null if they were never silenced. */
     fun settledAfterSilence(daemon: Daemon): ComparableTimeMark? =
         entries
@@ -114,5 +126,6 @@
         val EARLY_TIME: Duration = 3.seconds
         const val FIVE_SIXTHS = 5.0 / 6
         val INTERRUPTIONS = setOf(OutsideFault.TERMINATE, OutsideFault.KILL, OutsideFault.FREEZE)
+        val DISCONNECTIONS = INTERRUPTIONS + OutsideFault.STORE + OutsideFault.SILENCE
     }
 }
--- a/soak/src/main/kotlin/sycamore/soak/FaultSoak.kt
+++ b/soak/src/main/kotlin/sycamore/soak/FaultSoak.kt
@@ -49,7 +49,8 @@
             awaitService(deployment, "at the start", firstProbe = FIRST_PROBE)
             val callers =
                 List(plan.callers) { Caller(it, plan.seed * SEED_FACTOR + it, deployment, observations, plan) }
-            val jobs = callers.map { scope.launch { it.run() } }
+            val probes = deployment.gateways.map { RouteProbe(it, deployment, observations, faults) }
+            val jobs = callers.map { scope.launch { it.run() } } + probes.map { scope.launch { it.run() } }
             FaultInjector(plan, deployment, faults).run()
             val turns = callers.mapNotNull { it.lastTurn }.filter { it.account.budget >= PROBE_BUDGET }
             awaitService(deployment, "after the faults", firstProbe = FIRST_PROBE + deployment.gateways.size, turns)
--- a/soak/src/main/kotlin/sycamore/soak/Relay.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Relay.kt
@@ -34,8 +34,8 @@
         thread(isDaemon = true) { accept() }
     }
 
-    /** Silences the connections that are open now. */
-    fun silence() = pipes.forEach { it.isSilent = true }
+    /** Silences those of the connections that are open now for which [isSelected] returns true. */
+    fun silence(isSelected: () -> Boolean) = pipes.forEach { if (isSelected()) it.isSilent = true }
 
     override fun close() {
         listener.close()
--- a/soak/src/main/kotlin/sycamore/soak/Violation.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Violation.kt
@@ -1,7 +1,21 @@
 package sycamore.soak
 
 /** The promises that the soak checks. */
-internal enum class Rule { TWICE, RESENT, REFUSED, MIXED, ORDER, UNASKED, LOST, DRAIN, DENIED, BUDGET, RECOVER, EXIT }
+internal enum class Rule {
+    TWICE,
+    RESENT,
+    REFUSED,
+    MIXED,
+    ORDER,
+    UNASKED,
+    LOST,
+    DRAIN,
+    DENIED,
+    BUDGET,
+    CONFIG,
+    RECOVER,
+    EXIT,
+}
 
 /**
  * A broken promise.
--- a/soak/src/test/kotlin/sycamore/soak/FaultSoakTest.kt
+++ b/soak/src/test/kotlin/sycamore/soak/FaultSoakTest.kt
@@ -95,6 +95,28 @@
         }
     }
 
+    /**
+     * Guards against CONFIG: routes were added or dropped long after they had to be, since some of the connections of the gateway to the
+     * store had fallen silent, or all of them after an outage of the store.
+     */
+    @Test
+    fun `routes are in force in time although connections to the store fall silent, some or all, in outages as well`() {
+        run { folder ->
+            SoakPlan(
+                SEED,
+                length = 25.seconds,
+                hosts = 2,
+                CLASS_PATH,
+                folder,
+                upstreamFaults = emptyList(),
+                outsideFaults = listOf(OutsideFault.SILENCE, OutsideFault.CONFIGURE, OutsideFault.STORE),
+                kinds = listOf(CallKind.ONCE, CallKind.REPEATABLE),
+                callersPerHost = 1,
+                maxGap = 3.seconds,
+            )
+        }
+    }
+
     /** Stops one daemon with [role] after the other, while calls, or the pauses in the answers to turns, take up to [work]. */
     private fun stop(
         role: Role,
