Read watched keys again soon after a silent store answers

Cause: a watch that waits for 2.4 s ends in such an outage, one of 30 s did not. The list that follows waited for 2 s for an answer that never comes, and then paused for up to 1 s more.

Fix: a page of a list has the limit of a watch's answer (0.2 of the stable time, 0.8 s), and the time of the call is part of the pause after it.

Evidence: WatchTest, `a silent service is asked again as soon as a call has timed out`, failed before with 35 lists in 60 s where a call may take 1 s, and has at least 59 now.

--- a/forwarding/src/main/kotlin/sycamore/forwarding/StoreClient.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/StoreClient.kt
@@ -13,7 +13,7 @@
 
 // Shares of the stable time. The rest is left to read the watched keys again on a new connection.
 private const val WATCH_WAIT_SHARE = 0.6
-private const val WATCH_DELAY_SHARE = 0.2
+private const val READ_SHARE = 0.2
 
 /**
  * Creates a client of the platform's store.
@@ -25,7 +25,14 @@
     settings: StoreSettings,
     bounds: PlatformBounds,
 ): KeyValueClient {
-    val store = StoreKeyValue(settings.address, StoreHttp(), Threads.blocking, maxValueBytes = settings.maxValueBytes)
+    val store =
+        StoreKeyValue(
+            settings.address,
+            StoreHttp(),
+            Threads.blocking,
+            maxValueBytes = settings.maxValueBytes,
+            pageTimeout = bounds.stableTime * READ_SHARE,
+        )
     return keyValueClient(store) {
         // Far above the calls of a healthy daemon. The store's call rate is shared by all processes, and a faulty daemon must not
         // use it up.
@@ -33,6 +40,6 @@
         burst = 60
         timeout = CALL_TIMEOUT
         maxWatchWait = bounds.stableTime * WATCH_WAIT_SHARE
-        maxWatchDelay = bounds.stableTime * WATCH_DELAY_SHARE
+        maxWatchDelay = bounds.stableTime * READ_SHARE
     }
 }
--- a/services/src/main/kotlin/sycamore/services/Watch.kt
+++ b/services/src/main/kotlin/sycamore/services/Watch.kt
@@ -80,6 +80,7 @@
 ): Flow<WatchEvent> =
     flow {
         while (true) {
+            val began = time.markNow()
             when (val listed = list(prefix)) {
                 is ReadResult.Found -> {
                     backoff.reset()
@@ -91,7 +92,8 @@
                     emit(WatchEvent.Unreachable(listed.reason))
                 }
             }
-            delay(backoff.next())
+            // The time that a silent service has taken is part of the pause.
+            delay(backoff.next() - began.elapsedNow())
         }
     }
 
--- a/standins/src/test/kotlin/sycamore/standins/WatchTest.kt
+++ b/standins/src/test/kotlin/sycamore/standins/WatchTest.kt
@@ -170,4 +170,27 @@
             delay(1.minutes)
             assertEquals(70.seconds, age.elapsed)
         }
+
+    /** Guards against a watch that resumes late after an outage, since it pauses after calls that have waited long enough. */
+    @Test
+    fun `a silent service is asked again as soon as a call has timed out`() =
+        runTest {
+            val store = FaultyKeyValue(KeyValueStore(testTimeSource), testTimeSource)
+            val client =
+                keyValueClient(store) {
+                    time = testTimeSource
+                    timeout = 1.seconds
+                }
+            store.setFaults(KeyValueFaults(delay = 1.hours))
+            backgroundScope.launch {
+                client
+                    .watch(
+                        "a/",
+                        backoff = Backoff.shortPauses(),
+                        time = testTimeSource,
+                    ).collect {}
+            }
+            delay(60.seconds)
+            assertTrue(client.counts.count(CallKind.LIST) >= 59, "${client.counts.byKind()}")
+        }
 }
