--- a/soak/src/main/kotlin/sycamore/soak/Deployment.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Deployment.kt
@@ -73,14 +73,16 @@
     /** The extra routes of the configurations that were published. */
     val routes = RouteHistory()
 
+    /** Ends the daemons with the soak, also when it is interrupted. */
+    private val killAll = Thread { daemons.forEach(Daemon::kill) }
+
     private val configurations = Mutex()
     private val registrations = Mutex()
     private val written = HashMap<Upstream, String>()
     private var version = 0
 
     suspend fun start() {
-        // Ends the daemons with the soak, also when it is interrupted.
-        Runtime.getRuntime().addShutdownHook(Thread { daemons.forEach(Daemon::kill) })
+        Runtime.getRuntime().addShutdownHook(killAll)
         configure(hasExtraRoute = false)
         upstreams.forEach(Upstream::start)
         scope.launch { renewRegistrations() }
@@ -138,6 +140,7 @@
         upstreams.forEach(Upstream::close)
         storeRelays.values.forEach(Relay::close)
         coroutineScope { storeServers.forEach { launch(Dispatchers.IO) { it.stop() } } }
+        Runtime.getRuntime().removeShutdownHook(killAll)
     }
 
     private suspend fun renewRegistrations() {
