--- a/review/standins-2/bed/Client.java
+++ b/review/standins-2/bed/Client.java
@@ -58,6 +58,8 @@
             socket.setTcpNoDelay(true);
             socket.connect(gateway.callers(), 1000);
             socket.setSoTimeout(deadline + 1000);
+            // A client that can't even send its request gives up, too.
+            bed.start(() -> closeAfter(socket, deadline + 1200));
             answer = exchange(bed, socket, id, method, path, headers, body, deadline, sentAt);
         } catch (IOException e) {
             answer = new Answer(id, 0, new byte[0], Map.of(), e.toString(), sentAt, bed.now());
@@ -66,6 +68,15 @@
         return answer;
     }
 
+    private static void closeAfter(Socket socket, long millis) {
+        try {
+            Thread.sleep(millis);
+            socket.close();
+        } catch (IOException | InterruptedException e) {
+            // The call has ended.
+        }
+    }
+
     /** Sends one request on [socket], which stays open, and reads its answer. */
     static Answer exchange(Bed bed, Socket socket, String id, String method, String path, Map<String, String> headers, byte[] body, int deadline, long sentAt) throws IOException {
         StringBuilder head = new StringBuilder(method + " " + path + " HTTP/1.1\r\nHost: " + Bed.HOST + "\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: " + deadline + "\r\n");
