Turns at services without engines run with their history

Cause: Gateway.forward took a call for a turn only if the service that was chosen for it has a usable engine profile. The others were forwarded as plain calls.

Fix: CallKind.of(route, head) decides alone what a call is, and a turn always goes to the home of its program. TurnTargets selects an upstream without a gate like that of a plain call, and the home sends the turn to it directly. HomeSelector chooses the home of a new program, which no engine determines there. The home refuses a turn as TARGET_FULL, without a queue, or as TARGET_LEAVES if the upstream has left while the turn waited. An event counts as the largest stride_tokens in force. Engines whose hosts have no home are served in the same way.

--- a/daemon/src/main/kotlin/sycamore/daemon/homes/HomeView.kt
+++ b/daemon/src/main/kotlin/sycamore/daemon/homes/HomeView.kt
@@ -5,6 +5,7 @@
 import sycamore.decisions.programs.PartitionOwners
 import sycamore.decisions.programs.ProgramPartitions
 import sycamore.links.HomeEndpoint
+import sycamore.model.Address
 import sycamore.model.HomeId
 import sycamore.services.Revision
 import sycamore.turns.HomeEntry
@@ -24,6 +25,9 @@
         entries.values.filter { it.successor == null }.map { HomeEndpoint(it.home, it.address) }
     }
 
+    /** The addresses of the homes in [serving]. */
+    val addresses: Set<Address> by lazy { serving.mapTo(HashSet()) { it.address } }
+
     /** The homes that are registered, with those that were taken over. */
     val registered: List<HomeEndpoint> by lazy { entries.values.map { HomeEndpoint(it.home, it.address) } }
 
--- a/gateway/src/main/kotlin/sycamore/gateway/AcceptedCall.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/AcceptedCall.kt
@@ -7,6 +7,7 @@
 import sycamore.model.HomeId
 import sycamore.model.ServiceName
 import sycamore.platform.Header
+import sycamore.routing.CallKind
 import sycamore.routing.CallerHead
 import sycamore.routing.ClientAccount
 import sycamore.routing.ProgramName
@@ -38,12 +39,18 @@
     private val stop: PlannedStop,
     val account: ClientAccount? = null,
 ) {
+    /** What the call is to its program. */
+    val kind: CallKind = CallKind.of(route, head)
+
     /** The priority of the call: that of its account, or else of its route. */
     val priority: Int get() = account?.priority ?: route.priority
 
     /** The program of the call; null if its caller named none. */
     val program: ProgramName? = head.program?.let { ProgramName.of(account?.name, it.value) }
 
+    /** Identifies the subject that an upstream may have handled recently; null if that makes no difference on the route. */
+    val affinityKey: String? get() = head.affinityKey.takeIf { route.hasAffinity }
+
     /** How the call was handled, for the log. */
     val trace = CallTrace()
 
--- a/gateway/src/main/kotlin/sycamore/gateway/EngineDirectory.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/EngineDirectory.kt
@@ -102,19 +102,25 @@
         return if (age < PACE_MAX_AGE) report.pace.aged(age) to age else null
     }
 
-    private fun engine(upstream: ListedUpstream) =
+    private fun engine(upstream: ListedUpstream) = engineOf(upstream.service)
+
+    private fun engineOf(service: ServiceName) =
         routes.table.value
             ?.services
-            ?.get(upstream.service)
+            ?.get(service)
             ?.engine
 
     private fun isEngine(upstream: ListedUpstream): Boolean = engine(upstream) != null
 
-    private fun daemonAddress(upstream: ListedUpstream) = Address(upstream.address.ip, linkPort)
+    /** Whether the upstreams of [service] are engines. */
+    fun hasEngines(service: ServiceName): Boolean = engineOf(service) != null
+
+    /** The address at which a daemon on the host of [upstream] serves links. */
+    fun daemonAddress(upstream: ListedUpstream) = Address(upstream.address.ip, linkPort)
 
     private fun engineHost(upstream: ListedUpstream): EngineHost {
         val address = daemonAddress(upstream)
-        val last = reports[address]?.takeIf { it.receivedAt.elapsedNow() < MAX_AGE }
+        val last = freshReport(address)
         val pace = paceOf(address)
         return EngineHost(
             upstream,
@@ -127,6 +133,8 @@
         )
     }
 
+    private fun freshReport(address: Address) = reports[address]?.takeIf { it.receivedAt.elapsedNow() < MAX_AGE }
+
     /** Records that a turn was sent to the daemon at [address]. */
     fun recordPlacement(address: Address) {
         reports[address]?.placed?.incrementAndGet()
@@ -163,13 +171,30 @@
         retriesUnresponsive: Boolean = false,
         maxWait: Duration = MAX_WAIT,
     ): List<EngineHost> {
-        val stale = hosts.map { it.address }.filterNot { isFresh(it, retriesUnresponsive) }
+        refreshStatuses(hosts.map { it.address }, retriesUnresponsive, maxWait)
+        return hosts.map { engineHost(it.upstream) }
+    }
+
+    /** Returns the current states of the daemons at [addresses], as [refresh] does. Daemons that do not respond have none. */
+    suspend fun statuses(
+        addresses: List<Address>,
+        retriesUnresponsive: Boolean = false,
+    ): Map<Address, GateStatus> {
+        refreshStatuses(addresses, retriesUnresponsive, MAX_WAIT)
+        return addresses.mapNotNull { address -> freshReport(address)?.status?.let { address to it } }.toMap()
+    }
+
+    private suspend fun refreshStatuses(
+        addresses: List<Address>,
+        retriesUnresponsive: Boolean,
+        maxWait: Duration,
+    ) {
+        val stale = addresses.filterNot { isFresh(it, retriesUnresponsive) }
         val pending = stale.associateWith(::requestStatus)
         withTimeoutOrNull(maxWait) { pending.values.forEach { it.await() } }
         if (maxWait >= MAX_WAIT) {
             pending.forEach { (address, request) -> if (!request.isCompleted) recordUnresponsive(address) }
         }
-        return hosts.map { engineHost(it.upstream) }
     }
 
     private fun isFresh(
--- a/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/Gateway.kt
@@ -26,11 +26,11 @@
 import sycamore.platform.Header
 import sycamore.platform.HostSettings
 import sycamore.platform.PlatformBounds
+import sycamore.routing.CallKind
 import sycamore.routing.CallerHead
 import sycamore.routing.CallerLimits
 import sycamore.routing.ClientAccount
 import sycamore.routing.ProgramName
-import sycamore.routing.RepeatPolicy
 import sycamore.routing.Route
 import sycamore.routing.RouteTable
 import sycamore.services.KeyValue
@@ -74,7 +74,9 @@
     private val loads = UpstreamLoads(settings.place.name, time, registry)
     private val plainCalls = PlainCalls(upstreams, loads, callUpstream)
     private val selector = EngineSelector(settings.place, settings.places, engineHosts)
-    private val turnCalls = TurnCalls(homes, selector, engineHosts, upstreams, ::engine, exchange, meters, time)
+    private val homeSelector = HomeSelector(settings.place, settings.places, homeList, engineHosts)
+    private val targets = TurnTargets(selector, engineHosts, homeSelector, homeList, upstreams, loads)
+    private val turnCalls = TurnCalls(homes, targets, engineHosts, upstreams, routes.table, exchange, meters, time)
     private val credits = AccountCredits(homeList, exchange, clocks, meters)
     private val limitedCalls = LimitedCalls(credits, routes.table, { homes.knownHome(it) != null }, meters)
 
@@ -293,13 +295,17 @@
         caller: CallerExchange,
         call: AcceptedCall,
     ) {
+        val hasHome =
+            when (call.kind) {
+                CallKind.TURN -> true
+                // Passes the gate of its engine.
+                CallKind.STREAM -> engineHosts.hasEngines(call.service)
+                CallKind.SINGLE -> false
+            }
+        if (!hasHome) return plainCalls.serve(caller, call)
+        // A call without a program is handled as the only turn of a program of its own.
         val turn = call.head.id!!
-        if (call.route.repeat == RepeatPolicy.ONCE_STREAMED && engine(call) != null) {
-            // A call without a program is handled as the only turn of a program of its own.
-            turnCalls.serve(caller, call, call.program ?: ProgramName.of(call.account?.name, turn.value), turn)
-        } else {
-            plainCalls.serve(caller, call)
-        }
+        turnCalls.serve(caller, call, call.program ?: ProgramName.of(call.account?.name, turn.value), turn)
     }
 
     /** Ends [call], which is still open when this gateway stops. */
@@ -345,13 +351,6 @@
         return route.services.last().service
     }
 
-    private fun engine(call: AcceptedCall) = engineOf(routes.table.value, call.service)
-
-    private fun engineOf(
-        table: RouteTable?,
-        service: ServiceName,
-    ) = table?.services?.get(service)?.engine
-
     private companion object {
         val SUCCESS_STATUSES = 200..299
         val EVICTION_INTERVAL = 10.seconds
--- a/gateway/src/main/kotlin/sycamore/gateway/LimitedCalls.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/LimitedCalls.kt
@@ -4,9 +4,9 @@
 import sycamore.decisions.accounts.RequestKind
 import sycamore.model.Generation
 import sycamore.routing.AccountLimit
+import sycamore.routing.CallKind
 import sycamore.routing.ClientAccount
 import sycamore.routing.ProgramName
-import sycamore.routing.RepeatPolicy
 import sycamore.routing.RouteTable
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -57,8 +57,7 @@
 
     private fun kindOf(call: AcceptedCall): RequestKind {
         val program = call.program ?: return RequestKind.ORDINARY
-        val isTurn = call.route.repeat == RepeatPolicy.ONCE_STREAMED
-        val isStart = isTurn && call.head.previous == null && !isKnown(program)
+        val isStart = call.kind != CallKind.SINGLE && call.head.previous == null && !isKnown(program)
         return if (isStart) RequestKind.START else RequestKind.CONTINUATION
     }
 
--- a/gateway/src/main/kotlin/sycamore/gateway/PlainCalls.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/PlainCalls.kt
@@ -26,7 +26,7 @@
         var last: AttemptResult = AttemptResult.NotRun("no upstream of ${call.service} takes calls")
         while (sends < call.route.attempts && tried.size < MAX_UPSTREAMS_TRIED) {
             val candidates = upstreams.available(call.service).filter { it.address !in tried }
-            val upstream = loads.choose(candidates, call.head.affinityKey.takeIf { call.route.hasAffinity }) ?: break
+            val upstream = loads.choose(candidates, call.affinityKey) ?: break
             val left = call.timeLeft
             if (left < MIN_TIME_LEFT || !call.isSendable) break
             tried += upstream.address
@@ -91,14 +91,14 @@
         }
     }
 
-    private companion object {
+    companion object {
         /** The most upstreams that one call is sent to. Upstreams that are full refuse it immediately. */
         const val MAX_UPSTREAMS_TRIED = 5
 
         /** The least time left at which a call is sent. No upstream responds in less. */
-        val MIN_TIME_LEFT = 5.milliseconds
+        private val MIN_TIME_LEFT = 5.milliseconds
 
         /** About the duration of a call, so that a slot is likely to be free after it. */
-        val RETRY_AFTER = 150.milliseconds
+        private val RETRY_AFTER = 150.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
@@ -2,6 +2,7 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.withTimeoutOrNull
 import sycamore.daemon.log.event
 import sycamore.forwarding.CallerExchange
@@ -22,8 +23,8 @@
 import sycamore.model.Address
 import sycamore.platform.CallHeaders
 import sycamore.routing.AttemptId
-import sycamore.routing.EngineProfile
 import sycamore.routing.ProgramName
+import sycamore.routing.RouteTable
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
@@ -33,10 +34,10 @@
 /** Sends turns of programs to their homes and forwards the answers. */
 internal class TurnCalls(
     private val homes: ProgramHomes,
-    private val selector: EngineSelector,
+    private val targets: TurnTargets,
     private val engineHosts: EngineDirectory,
     private val upstreams: UpstreamDirectory,
-    private val engineProfile: (AcceptedCall) -> EngineProfile?,
+    private val table: StateFlow<RouteTable?>,
     private val exchange: Exchange,
     private val meters: CallMeters,
     private val time: TimeSource,
@@ -59,9 +60,10 @@
             val home: HomeEndpoint,
         ) : SendResult
 
-        /** The turn did not run and may be sent again, to another home or engine. */
+        /** The turn did not run and may be sent again after [delay], to another home or upstream. */
         class Retry(
             val reason: String,
+            val delay: Duration = RETRY_DELAY,
         ) : SendResult
 
         /** The home could not be reached and has not received the turn. */
@@ -76,9 +78,9 @@
         private val program: ProgramName,
         private val turn: AttemptId,
     ) {
-        /** The addresses of engines that get this turn no more. See [PlainCalls.serve] for why not their ids. */
+        /** The addresses of upstreams that get this turn no more. See [PlainCalls.serve] for why not their ids. */
         private val excluded = HashSet<Address>()
-        private var refusalReason = "no engine takes turns"
+        private var refusalReason = "no upstream of ${call.service} takes turns"
         private val arrivedAt = time.markNow()
         private val prompt =
             TurnPrompt(call.service, program, call.head.promptTokens, call.head.prompt, call.head.outputHint)
@@ -94,7 +96,7 @@
                     }
                     is HomeLookup.Found -> if (send(located.home, previousAt = null)) return
                     is HomeLookup.NewProgram -> {
-                        val home = selector.chooseHome(call.service, excluded)
+                        val home = targets.chooseHome(call.service, excluded)
                         if (home == null) {
                             delay(RETRY_DELAY)
                         } else if (send(home, located.previousAt)) {
@@ -124,15 +126,9 @@
             home: HomeEndpoint,
             previousAt: HomeEndpoint?,
         ): Boolean {
-            val selected = selector.chooseEngine(home, prompt, excluded)
-            if (selected == null) {
-                refusalReason = "no engine of ${call.service} takes turns"
-                delay(RETRY_DELAY)
-                return false
-            }
-            val target = selected.host
-            call.trace.choice = selected.reason
-            val message = turnMessage(home, previousAt, target).copy(unreadTokens = selected.unread)
+            val target = targets.choose(home, call, prompt, excluded) ?: return waitForTarget()
+            call.trace.choice = target.reason
+            val message = turnMessage(home, previousAt, target)
             return when (val result = sendTo(home, target, message)) {
                 SendResult.Completed -> true
                 is SendResult.Redirected -> {
@@ -143,7 +139,7 @@
                     refusalReason = result.reason
                     meters.recordResend("refused")
                     logResend("turn-sent-elsewhere", home, result.reason)
-                    delay(RETRY_DELAY)
+                    delay(result.delay)
                     false
                 }
                 is SendResult.Unreachable -> {
@@ -153,7 +149,8 @@
                     engineHosts.recordUnresponsive(home.address)
                     if (homes.knownHome(program) == home) {
                         withTimeoutOrNull(MAX_HOLD_TIME - held) { homes.takeOver(home) } ?: delay(RETRY_DELAY)
-                    } else {
+                    } else if (target.gate != null) {
+                        // Its engine determined the home.
                         excluded += target.upstream.address
                     }
                     false
@@ -161,16 +158,30 @@
             }
         }
 
+        /**
+         * Waits for an engine whose gate accepts turns, as one may after its daemon has started again. Without gates, no upstream that
+         * is left will run the turn, which is then refused. Returns true if it was.
+         */
+        private suspend fun waitForTarget(): Boolean {
+            if (targets.hasGates(call.service)) {
+                refusalReason = "no engine of ${call.service} takes turns"
+                delay(RETRY_DELAY)
+                return false
+            }
+            refuseAsNotRun(refusalReason)
+            return true
+        }
+
         private fun logResend(
             event: String,
             home: HomeEndpoint,
             reason: String,
         ) = log.event(event, "request" to turn, "home" to home.home, "detail" to reason, isExceptional = true)
 
-        /** Notes that [home] did not answer the turn, or the engine [target] did not answer it completely. */
+        /** Notes that [home] did not answer the turn, or [target] did not answer it completely. */
         private fun trace(
             home: HomeEndpoint,
-            target: EngineHost,
+            target: SelectedTarget,
             outcome: AttemptTrace.Outcome,
             detail: String,
             sent: Boolean = true,
@@ -178,10 +189,11 @@
 
         private suspend fun sendTo(
             home: HomeEndpoint,
-            target: EngineHost,
+            target: SelectedTarget,
             message: RunTurn,
         ): SendResult {
-            engineHosts.recordPlacement(target.address)
+            val use = targets.recordStart(target, call)
+            var last: Message? = null
             call.trace.home = home.home
             call.trace.upstream = target.upstream.id
             call.trace.sends++
@@ -192,6 +204,7 @@
                 val isInTime =
                     withTimeoutOrNull(call.timeLeft) {
                         exchange(home.address, message).collect { reply ->
+                            last = reply
                             when (reply) {
                                 is TurnRefused -> {
                                     call.mayHaveRun = false
@@ -223,25 +236,26 @@
                 engineHosts.recordUnresponsive(home.address)
                 failAsBroken("the home was lost: ${e.message}")
                 return SendResult.Completed
+            } finally {
+                use.end(last)
             }
         }
 
         private suspend fun turnMessage(
             home: HomeEndpoint,
             previousAt: HomeEndpoint?,
-            target: EngineHost,
-        ): RunTurn {
-            val profile = engineProfile(call)
-            return RunTurn(
+            target: SelectedTarget,
+        ): RunTurn =
+            RunTurn(
                 program = program,
                 turn = turn,
                 previous = call.head.previous,
                 previousAt = previousAt,
                 keepsHistory = call.route.retention != null,
                 target = target.upstream,
-                targetHost = target.address,
-                engineSlots = profile?.slots ?: target.upstream.slots,
-                tokensPerEvent = profile?.tokensPerEvent ?: 1,
+                targetHost = target.gate,
+                engineSlots = target.engine?.slots ?: target.upstream.slots,
+                tokensPerEvent = table.value?.tokensPerEvent(call.service) ?: 1,
                 tokenBudget = call.head.tokenBudget,
                 mostTokens = call.head.maxOutputTokens ?: 0,
                 promptTokens = call.head.promptTokens ?: 0,
@@ -253,13 +267,13 @@
                 input = call.body,
                 finishIn = call.head.finishIn,
                 continuation = if (call.route.isResumable) chooseContinuation(home, target) else null,
+                unreadTokens = target.unread,
             )
-        }
 
-        /** Chooses the engines at which the answer may go on, one more than may run the turn since one may refuse it. */
+        /** Chooses the upstreams at which the answer may go on, one more than may run the turn since one may refuse it. */
         private suspend fun chooseContinuation(
             home: HomeEndpoint,
-            target: EngineHost,
+            target: SelectedTarget,
         ): TurnContinuation? {
             val runs = call.route.attempts
             if (runs < 2) return null
@@ -267,8 +281,8 @@
             withTimeoutOrNull(MAX_CHOICE_TIME) {
                 while (others.size < runs) {
                     val used = excluded + target.upstream.address + others.map { it.engine.address }
-                    val next = selector.chooseEngine(home, prompt, used)?.host ?: break
-                    others += TurnTarget(next.upstream, next.address)
+                    val next = targets.choose(home, call, prompt, used) ?: break
+                    others += TurnTarget(next.upstream, next.gate)
                 }
             }
             return TurnContinuation(others, runs)
@@ -278,7 +292,7 @@
         private suspend fun forward(
             reply: Message,
             home: HomeEndpoint,
-            target: EngineHost,
+            target: SelectedTarget,
         ): Boolean {
             when (reply) {
                 is TurnBegun -> {
@@ -290,8 +304,8 @@
                 is TurnBytes -> caller.write(reply.bytes)
                 is TurnComplete -> {
                     reply.load?.let { engineHosts.recordStatus(home.address, it) }
-                    reply.targetLoad?.let { engineHosts.recordStatus(target.address, it) }
-                    selector.recordRun(target, prompt)
+                    reply.targetLoad?.let { load -> target.gate?.let { engineHosts.recordStatus(it, load) } }
+                    targets.recordRun(target, prompt)
                     caller.complete()
                     return true
                 }
@@ -309,8 +323,9 @@
         private suspend fun handleRefusal(
             reply: TurnRefused,
             home: HomeEndpoint,
-            target: EngineHost,
+            target: SelectedTarget,
         ): SendResult {
+            val retryDelay = if (target.gate == null) Duration.ZERO else RETRY_DELAY
             when (reply.reason) {
                 TurnRefusal.BUDGET_SPENT -> respond(GatewayError.BUDGET_SPENT, reply.detail)
                 TurnRefusal.NO_SUCH_TURN -> return handleMissingTurn(reply, home)
@@ -318,11 +333,11 @@
                 TurnRefusal.TARGET_LEAVES -> {
                     upstreams.markLeaving(target.upstream)
                     excluded += target.upstream.address
-                    return SendResult.Retry(reply.detail)
+                    return SendResult.Retry(reply.detail, retryDelay)
                 }
-                TurnRefusal.TARGET_GONE -> {
+                TurnRefusal.TARGET_GONE, TurnRefusal.TARGET_FULL -> {
                     excluded += target.upstream.address
-                    return SendResult.Retry(reply.detail)
+                    return SendResult.Retry(reply.detail, retryDelay)
                 }
                 TurnRefusal.NOT_HERE -> {
                     reply.servedBy?.let { return SendResult.Redirected(it) }
--- a/gateway/src/main/kotlin/sycamore/gateway/UpstreamLoads.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/UpstreamLoads.kt
@@ -135,6 +135,11 @@
         }
     }
 
+    /** Records that a call, whose start was recorded, was not sent to [upstream] or shows nothing of it. */
+    fun recordWithdrawn(upstream: ListedUpstream) {
+        state(upstream).running.decrementAndGet()
+    }
+
     /** Records that [upstream] is full. */
     fun recordFull(upstream: ListedUpstream) {
         state(upstream).avoidUntil = time.markNow() + FULL_PAUSE
--- a/homes/src/main/kotlin/sycamore/homes/EngineCall.kt
+++ b/homes/src/main/kotlin/sycamore/homes/EngineCall.kt
@@ -99,7 +99,7 @@
                 )
             else ->
                 TurnRefused(
-                    TurnRefusal.NOT_NOW,
+                    if (call.targetHost == null) TurnRefusal.TARGET_FULL else TurnRefusal.NOT_NOW,
                     "the engine answered ${answer.status} and did not run the turn${on(connection)}",
                     RETRY_AFTER,
                 )
--- a/homes/src/main/kotlin/sycamore/homes/PromptSender.kt
+++ b/homes/src/main/kotlin/sycamore/homes/PromptSender.kt
@@ -54,7 +54,7 @@
     val pace: LearnedPace? get() = paceMeter.pace
 
     /**
-     * Sends [prompt] through the local gate, through the gate of another host, or directly to an engine without a gate.
+     * Sends [prompt] through the local gate, through the gate of another host, or directly to an upstream without a gate.
      */
     fun send(
         call: RunTurn,
--- a/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
+++ b/homes/src/main/kotlin/sycamore/homes/TurnRunner.kt
@@ -195,7 +195,7 @@
         private suspend fun run(answer: AnswerMemory.Answer) {
             var last: Message = unanswered
             try {
-                last = sendTo(call, answer)
+                last = if (hasTargetLeft()) refusalOfLeaving() else sendTo(call, answer)
                 call.continuation?.let { last = resume(last, it, answer) }
             } catch (e: LinkException) {
                 last = if (e.sent) TurnInterrupted("the gate was lost: ${e.message}") else refusalOfUnreachable(e)
@@ -220,6 +220,12 @@
             replies.emit(last)
         }
 
+        /**
+         * Whether an upstream without a gate has registered as leaving while the turn waited here, for its program or the prompt that it
+         * continues. A gate checks this itself.
+         */
+        private suspend fun hasTargetLeft(): Boolean = call.targetHost == null && hasLeftSince(receivedAt, call.target)
+
         /** Sends the turn to the engine of [target]. Returns the last message of the answer. */
         private suspend fun sendTo(
             target: RunTurn,
@@ -401,6 +407,8 @@
 
         private fun answerTokens(): Long = events.events.toLong() * call.tokensPerEvent
 
+        private fun refusalOfLeaving() = TurnRefused(TurnRefusal.TARGET_LEAVES, "${call.target.id} leaves")
+
         private fun refusalOfUnreachable(e: LinkException) =
             TurnRefused(TurnRefusal.TARGET_GONE, "the gate cannot be reached: ${e.message}", RETRY_AFTER)
     }
--- a/homes/src/test/kotlin/sycamore/homes/HomeFixture.kt
+++ b/homes/src/test/kotlin/sycamore/homes/HomeFixture.kt
@@ -77,11 +77,13 @@
  *
  * @param maxLostDisks the number of disks whose loss at once must not lose a record.
  * @param regions the region of each place. A place that is not in it is a region of its own.
+ * @param drainTime the time after its registration as leaving for which an engine may still get turns.
  */
 internal class HomeFixture(
     private val test: TestScope,
     private val maxLostDisks: Int = 1,
     private val regions: Map<String, String> = emptyMap(),
+    private val drainTime: Duration = 2.5.seconds,
 ) {
     val time = test.testTimeSource
     val keys = FaultyKeyValue(KeyValueStore(time), time)
@@ -285,7 +287,7 @@
         upstream = engine(number),
         dataDirectory = null,
         maxLostDisks = maxLostDisks,
-        bounds = PlatformBounds(2.5.seconds, 8.seconds, 2.5.seconds, 4.seconds, 1.seconds),
+        bounds = PlatformBounds(drainTime, 8.seconds, 2.5.seconds, 4.seconds, 1.seconds),
         store = StoreSettings(Address("10.9.0.1", 1), 400.0, 2000.0, 1 shl 20),
         memoryMib = 256,
         contracts = persistentListOf(),
--- a/links/src/main/kotlin/sycamore/links/TurnMessage.kt
+++ b/links/src/main/kotlin/sycamore/links/TurnMessage.kt
@@ -28,9 +28,9 @@
 )
 
 /**
- * An engine that can run a turn.
+ * An upstream that can run a turn.
  *
- * @property host the address of the daemon on the engine's host; null if there is none.
+ * @property host the address of the daemon with the upstream's gate; null if the upstream has no gate.
  */
 @Serializable
 data class TurnTarget(
@@ -58,10 +58,11 @@
  * @property previousAt the home that has [previous], if it is not the receiver.
  * @property keepsHistory whether the home composes the prompt from earlier turns; if not, [input] is the complete
  * prompt.
- * @property target the engine that shall run the turn.
- * @property targetHost the address of the daemon on the engine's host; null if there is none.
- * @property engineSlots the number of calls that the engine runs at once.
- * @property tokensPerEvent the number of tokens in each event of the answer.
+ * @property target the upstream that shall run the turn: an engine, or an upstream of a service without engines.
+ * @property targetHost the address of the daemon with the gate of [target]; null if it has no gate, so that the home sends the turn
+ * to it directly.
+ * @property engineSlots the number of calls that [target] runs at once.
+ * @property tokensPerEvent the number of tokens that each event of the answer counts in the budget.
  * @property tokenBudget the number of tokens that all turns of the program together may generate; null if there is no
  * limit.
  * @property mostTokens the number of tokens that this turn may generate.
@@ -166,6 +167,9 @@
     /** The target engine reports that it is shutting down and accepts no further calls. */
     TARGET_LEAVES,
 
+    /** The target has no gate in whose queue the turn could wait, and reports that it is full. */
+    TARGET_FULL,
+
     /** The home is not ready or has ended, or another home serves the program. */
     NOT_HERE,
 }
--- a/rehearsal/src/main/kotlin/sycamore/rehearsal/Rehearsal.kt
+++ b/rehearsal/src/main/kotlin/sycamore/rehearsal/Rehearsal.kt
@@ -21,6 +21,7 @@
 import sycamore.platform.SampleDocuments
 import sycamore.platform.StoreKeys
 import sycamore.retainer.RetainerDaemon
+import sycamore.services.ReadResult
 import sycamore.services.Revision
 import sycamore.standins.KeyValueServer
 import sycamore.standins.KeyValueStore
@@ -69,18 +70,15 @@
     /** The id of the last complete turn. */
     private var previous: String? = null
 
+    /** The prefix of the path of plain calls. */
+    private var calls = "/calls/"
+
     /**
      * Starts all daemons, sends [turns] turns of one program and the same number of plain calls, and returns the
      * results. After half of the turns, the program's home stops and the other home takes over.
      */
     suspend fun run(turns: Int): RehearsalResult {
-        Http.serve(storeAddress, KeyValueServer(store).handler)
-        engines.forEach { Http.serve(it, ::answerUpstream) }
-        Http.serve(plain, ::answerUpstream)
-        writeConfiguration()
-        repeat(RETAINER_COUNT) { startRetainer(it) }
-        val first = startHome("h0", homes[0], engines[0])
-        startGateway()
+        val first = startAll()
         val firstHalf = sendTurnsAndCalls(0 until turns / 2)
         startHome("h1", homes[1], engines[1])
         first.stop(STOP_TIMEOUT)
@@ -89,8 +87,46 @@
         return result
     }
 
+    /**
+     * Starts all daemons but the second home, and sends [turns] turns of one program while the route of turns leads to engines, then to a
+     * service without engines, and then to engines again. Returns the results of the three parts.
+     */
+    suspend fun runWithMovedTurns(turns: Int): List<RehearsalResult> {
+        startAll()
+        return listOf(ENGINES, PLAIN, ENGINES).mapIndexed { part, service ->
+            if (part > 0) moveTurns(service, part + 1)
+            sendTurnsAndCalls(turns * part until turns * (part + 1))
+        }
+    }
+
+    /** Starts all daemons but the second home, and returns the first home. */
+    private suspend fun startAll(): HomeDaemon {
+        Http.serve(storeAddress, KeyValueServer(store).handler)
+        engines.forEach { Http.serve(it, ::answerUpstream) }
+        Http.serve(plain, ::answerUpstream)
+        writeConfiguration()
+        repeat(RETAINER_COUNT) { startRetainer(it) }
+        return startHome("h0", homes[0], engines[0]).also { startGateway() }
+    }
+
+    /**
+     * Publishes a configuration whose turns run at [service]. Its plain calls have another path, so that the first answer to one shows
+     * that the gateway has applied it.
+     */
+    private suspend fun moveTurns(
+        service: String,
+        version: Int,
+    ) {
+        calls = "/calls$version/"
+        val current = store.get(StoreKeys.CONFIGURATION) as ReadResult.Found
+        val next =
+            SampleDocuments.configuration(HOST, "/turns/", ENGINES, calls, PLAIN, version = version, turnsTo = service)
+        store.put(StoreKeys.CONFIGURATION, next, current.value!!.version)
+        retryUntilServed { JettyClient()(request("${calls}1", SampleDocuments.callHeaders("moved$version-$it"), "")) }
+    }
+
     private suspend fun writeConfiguration() {
-        val configuration = SampleDocuments.configuration(HOST, "/turns/", ENGINES, "/calls/", PLAIN)
+        val configuration = SampleDocuments.configuration(HOST, "/turns/", ENGINES, calls, PLAIN)
         store.put(StoreKeys.CONFIGURATION, configuration, Revision.ABSENT)
         store.put(
             StoreKeys.UPSTREAMS + "e1",
@@ -112,7 +148,7 @@
     private fun answerUpstream(request: Request): Response {
         val headers = SampleDocuments.answerHeaders(request.headers.map { it.first to it.second.orEmpty() })
         val head = headers.fold(Response(Status.OK)) { response, (name, value) -> response.header(name, value) }
-        if (request.uri.path.startsWith("/calls/")) return head.body("done")
+        if (request.uri.path.startsWith("/calls")) return head.body("done")
         lastPrompt = request.bodyString()
         val events = (1..EVENTS_PER_ANSWER).joinToString("") { "id: $it\ndata: word$it\n\n" }
         return head.header("Content-Type", "text/event-stream").body(events)
@@ -181,7 +217,8 @@
             if (turn == null) break
             completeTurns++
             previous = turn.header("X-Request-Id")
-            val call = retryUntilServed { client(request("/calls/1", SampleDocuments.callHeaders("c$number-$it"), "")) }
+            val call =
+                retryUntilServed { client(request("${calls}1", SampleDocuments.callHeaders("c$number-$it"), "")) }
             if (call?.bodyString() == "done") completeCalls++
         }
         return RehearsalResult(completeTurns, completeCalls, lastPrompt)
--- a/routing/src/main/kotlin/sycamore/routing/RouteTable.kt
+++ b/routing/src/main/kotlin/sycamore/routing/RouteTable.kt
@@ -18,6 +18,15 @@
     /** The services by name. */
     val services: ImmutableMap<ServiceName, RoutedService> = services.associateBy { it.name }.toImmutableMap()
 
+    private val maxTokensPerEvent: Int = services.mapNotNull { it.engine?.tokensPerEvent }.maxOrNull() ?: 1
+
+    /**
+     * The number of tokens that each event of a stream of [service] counts in the budget of a program. The configuration states it for
+     * engines only. An event of another service counts as much as the largest one of all engines, so that a program exceeds its budget
+     * nowhere, and as one token if there are none.
+     */
+    fun tokensPerEvent(service: ServiceName): Int = services[service]?.engine?.tokensPerEvent ?: maxTokensPerEvent
+
     private val byHost: ImmutableMap<String, List<Route>> =
         routes
             .groupBy { it.host.lowercase() }
--- a/soak/src/main/kotlin/sycamore/soak/Attempt.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Attempt.kt
@@ -27,6 +27,7 @@
  * @property body the complete body of the run's response.
  * @property fault the fault of the upstream during this run; null if there is none.
  * @property isLeaving whether the response announces that the upstream leaves.
+ * @property isStream whether the response is a stream of events.
  * @property isConnectionClean whether all earlier exchanges on the connection were without faults.
  */
 internal class Run(
@@ -36,6 +37,7 @@
     val isConnectionClean: Boolean,
     val at: ComparableTimeMark,
     val isLeaving: Boolean = false,
+    val isStream: Boolean = false,
 ) {
     /** The time at which the upstream ended its work; null while it is at work. */
     @Volatile
--- a/soak/src/main/kotlin/sycamore/soak/Deployment.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Deployment.kt
@@ -82,6 +82,7 @@
     private val registrations = Mutex()
     private val written = HashMap<Upstream, String>()
     private var version = 0
+    private var placement = TurnPlacement.ENGINES
 
     suspend fun start() {
         Runtime.getRuntime().addShutdownHook(killAll)
@@ -98,7 +99,19 @@
     suspend fun configure(
         hasExtraRoute: Boolean,
         keyChoices: Random? = null,
-    ) = configurations.withLock {
+    ) = configurations.withLock { publish(hasExtraRoute, keyChoices) }
+
+    /** Publishes a new configuration, in which the turns run as [placement] says. */
+    suspend fun moveTurns(placement: TurnPlacement) =
+        configurations.withLock {
+            this.placement = placement
+            publish(hasExtraRoute = false)
+        }
+
+    private suspend fun publish(
+        hasExtraRoute: Boolean,
+        keyChoices: Random? = null,
+    ) {
         version++
         val extra = if (hasExtraRoute) ChangingRoute("/extra$version/") else null
         val plain = configuration(extra?.prefix)
@@ -116,7 +129,8 @@
             version,
             HOST,
             CallKind.TURN.prefix,
-            ENGINES,
+            placement.weights(ENGINES, PLAIN),
+            ENGINES.takeIf { placement.hasProfile },
             CallKind.REPEATABLE.prefix,
             CallKind.ONCE.prefix,
             PLAIN,
--- a/soak/src/main/kotlin/sycamore/soak/FaultInjector.kt
+++ b/soak/src/main/kotlin/sycamore/soak/FaultInjector.kt
@@ -51,6 +51,7 @@
             OutsideFault.FREEZE -> targets.forEach { freeze(it, length) }
             OutsideFault.RELOAD -> targets.forEach { launch { log.record(fault, it) { it.signal("HUP") } } }
             OutsideFault.CONFIGURE -> configure(random.nextBoolean())
+            OutsideFault.MOVE_TURNS -> moveTurns(TurnPlacement.entries.random(random))
             OutsideFault.STORE -> disturbStore(storeFaults.random(random), targets, length)
             OutsideFault.UPSTREAMS -> changeUpstreams(length)
             OutsideFault.LEAVE -> leave(length)
@@ -109,6 +110,12 @@
         }
     }
 
+    private fun CoroutineScope.moveTurns(placement: TurnPlacement) {
+        launch {
+            log.record(OutsideFault.MOVE_TURNS, target = null) { deployment.moveTurns(placement) }
+        }
+    }
+
     private fun CoroutineScope.disturbStore(
         faults: KeyValueFaults,
         targets: List<Daemon>,
--- a/soak/src/main/kotlin/sycamore/soak/FaultLog.kt
+++ b/soak/src/main/kotlin/sycamore/soak/FaultLog.kt
@@ -25,6 +25,9 @@
 
     /** Some or all open connections of a daemon to the store fall silent. New ones work. */
     SILENCE(false, mayCut = false),
+
+    /** A configuration moves the turns to other services, or takes the profile from the service with engines. */
+    MOVE_TURNS(true),
 }
 
 /** Records which faults were in effect when. Safe for use by several threads. */
--- a/soak/src/main/kotlin/sycamore/soak/Main.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Main.kt
@@ -24,7 +24,9 @@
             description = "Folder of results",
         ).default("target/fault-soak")
     val upstream by parser.option(ArgType.String, "upstream-faults", description = "Names, all or none").default("all")
-    val outside by parser.option(ArgType.String, "outside-faults", description = "Names, all or none").default("all")
+    val outside by parser
+        .option(ArgType.String, "outside-faults", description = "Names, all (without move_turns) or none")
+        .default("all")
     val calls by parser.option(ArgType.String, "calls", description = "Kinds, or all").default("all")
     val homes by parser.option(ArgType.Int, "homes", description = "Homes with an engine each")
     val upstreams by parser.option(ArgType.Int, "upstreams", description = "Plain upstreams")
@@ -72,7 +74,7 @@
                 daemons ?: System.getProperty("java.class.path"),
                 File(folder).absoluteFile.resolve("seed-$seed"),
                 select(upstream, UpstreamFault.entries),
-                select(outside, OutsideFault.entries),
+                if (outside == "all") ALL_OUTSIDE_FAULTS else select(outside, OutsideFault.entries),
                 kinds,
                 homes ?: if (CallKind.TURN in kinds) hosts else 0,
                 upstreams ?: hosts,
@@ -118,6 +120,8 @@
     all: List<Any>,
 ): Nothing = Program.fail(Program.EXIT_MISUSE, "expected names out of $all, found '$name'")
 
+/** Without faults that were added later, so that a seed determines the same faults as before. */
+private val ALL_OUTSIDE_FAULTS = OutsideFault.entries - OutsideFault.MOVE_TURNS
 private const val DEFAULT_SECONDS = 20
 private const val DEFAULT_PAUSE_MILLIS = 60
 private const val DEFAULT_DEADLINE_MILLIS = 5_000
--- a/soak/src/main/kotlin/sycamore/soak/SoakPlan.kt
+++ b/soak/src/main/kotlin/sycamore/soak/SoakPlan.kt
@@ -34,7 +34,7 @@
     val classPath: String,
     val folder: File,
     val upstreamFaults: List<UpstreamFault> = UpstreamFault.entries,
-    val outsideFaults: List<OutsideFault> = OutsideFault.entries - OutsideFault.LEAVE - OutsideFault.SILENCE,
+    val outsideFaults: List<OutsideFault> = OutsideFault.entries - SELECTED_ONLY,
     val kinds: List<CallKind> = CallKind.entries,
     val homes: Int = if (CallKind.TURN in kinds) hosts else 0,
     val plainUpstreams: Int = hosts,
@@ -53,6 +53,8 @@
     val callers: Int get() = hosts * callersPerHost
 
     companion object {
+        /** The faults that only plans with certain checks or loads contain. */
+        val SELECTED_ONLY = setOf(OutsideFault.LEAVE, OutsideFault.SILENCE, OutsideFault.MOVE_TURNS)
         private const val MIN_RETAINERS = 3
         private const val HOSTS_PER_RETAINER = 4
         const val CALLERS_PER_HOST = 6
--- a/soak/src/main/kotlin/sycamore/soak/Upstream.kt
+++ b/soak/src/main/kotlin/sycamore/soak/Upstream.kt
@@ -144,10 +144,13 @@
     private fun nextFault(): UpstreamFault? =
         synchronized(random) { if (random.nextDouble() < limits.faultyShare) faults.randomOrNull(random) else null }
 
-    private fun nextBody(id: String): ByteArray =
+    private fun nextBody(
+        id: String,
+        isStream: Boolean,
+    ): ByteArray =
         synchronized(random) {
             val nonce = random.nextLong().toString(HEXADECIMAL)
-            if (isEngine) {
+            if (isStream) {
                 val events = 1 + random.nextInt(MAX_EVENTS)
                 (1..events).joinToString("") { "id: $it\ndata: $id.$nonce.$it\n\n" }
             } else {
@@ -200,13 +203,15 @@
             val fault = nextFault()
             if (fault?.isRefusal == true) return refuseWith(fault, head)
             if (busy.get() >= limits.slots) return refuse(head, UNAVAILABLE)
-            val answer = nextBody(request)
-            val run = Run(start, answer, fault, isClean, TimeSource.Monotonic.markNow(), isLeaving)
+            val path = head.startLine.split(' ')[1]
+            val isStream = path.startsWith(CallKind.TURN.prefix)
+            val answer = nextBody(request, isStream)
+            val run = Run(start, answer, fault, isClean, TimeSource.Monotonic.markNow(), isLeaving, isStream)
             if (run.isLeaving) counts.leavingAnnounced.incrementAndGet()
             busy.incrementAndGet()
             recordReceipt(request, "run")
             try {
-                observations.recordRun(request, head.startLine.split(' ')[1], body.decodeToString(), run)
+                observations.recordRun(request, path, body.decodeToString(), run)
                 return answer(head, run)
             } finally {
                 run.end = TimeSource.Monotonic.markNow()
@@ -262,7 +267,7 @@
             head: MessageHead,
             run: Run,
         ): Boolean {
-            val type = "Content-Type" to if (isEngine) "text/event-stream" else "text/plain"
+            val type = "Content-Type" to if (run.isStream) "text/event-stream" else "text/plain"
             val headers = headersOf(head, run.isLeaving) + type
             when (run.fault) {
                 UpstreamFault.UNFRAMED, UpstreamFault.UNFRAMED_RESET, UpstreamFault.BODY_CUT -> unframed(headers, run)
@@ -280,8 +285,7 @@
             run: Run,
         ): Boolean {
             if (run.fault == UpstreamFault.SLOW) Thread.sleep(SLOW_MILLIS)
-            val isChunked = isEngine
-            if (isChunked) {
+            if (run.isStream) {
                 output.write(HttpWire.encode(OK, headers + ("Transfer-Encoding" to "chunked"), ByteArray(0)))
                 for (event in run.body
                     .decodeToString()
@@ -318,7 +322,7 @@
             val isWhole = run.fault == UpstreamFault.UNFRAMED
             // Four bytes before its end, a stream is inside an event.
             val part = if (isWhole) run.body.size else run.body.size - CUT_BYTES
-            val isFramed = run.fault == UpstreamFault.BODY_CUT && !isEngine
+            val isFramed = run.fault == UpstreamFault.BODY_CUT && !run.isStream
             val length = if (isFramed) listOf("Content-Length" to run.body.size.toString()) else emptyList()
             run.isWritten = isWhole
             output.write(HttpWire.encode(OK, headers + length, run.body.copyOf(part)))
--- a/soak/src/test/kotlin/sycamore/soak/FaultSoakTest.kt
+++ b/soak/src/test/kotlin/sycamore/soak/FaultSoakTest.kt
@@ -95,6 +95,27 @@
         }
     }
 
+    /**
+     * Guards against UNASKED and LOST: turns that a configuration moved to a service without engines ran without their history, and
+     * were not kept for the turns that continued them.
+     */
+    @Test
+    fun `turns keep their history while configurations move them between services and homes end`() {
+        run { folder ->
+            SoakPlan(
+                SEED,
+                LENGTH,
+                hosts = 2,
+                CLASS_PATH,
+                folder,
+                outsideFaults = listOf(OutsideFault.MOVE_TURNS, OutsideFault.KILL, OutsideFault.TERMINATE),
+                kinds = listOf(CallKind.TURN),
+                homes = 3,
+                roles = listOf(Role.HOME),
+            )
+        }
+    }
+
     /**
      * Guards against CONFIG: routes were added or dropped long after they had to be, since some of the connections of the gateway to the
      * store had fallen silent, or all of them after an outage of the store.
