Turns without history do not look for the turn that they name

What callers saw: on a streaming route without retains_history, a call with a token budget and X-Previous-Turn was refused with 503 if its program had no home yet, or, by reading, got 404, which ends the program.

Cause: TurnCalls.locate asked all homes for the earlier turn whatever the route, though the home of such a call ignores it.

Fix: the gateway takes the header into account only where the route retains history.

Evidence: TurnsWithoutEnginesTest, `a stream with a token budget runs whatever earlier turn it names if its route keeps no history`, failed before (expected 200, was 503) and passes.

--- a/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
+++ b/gateway/src/main/kotlin/sycamore/gateway/TurnCalls.kt
@@ -113,7 +113,8 @@
 
         private suspend fun locate(): HomeLookup {
             val home = homes.knownHome(program)
-            val previous = call.head.previous
+            // Without history, the body states all that the turn needs.
+            val previous = call.head.previous.takeIf { call.route.retention != null }
             return when {
                 home != null -> HomeLookup.Found(home)
                 previous == null -> HomeLookup.NewProgram(previousAt = null)
--- a/gateway/src/test/kotlin/sycamore/gateway/TurnsWithoutEnginesTest.kt
+++ b/gateway/src/test/kotlin/sycamore/gateway/TurnsWithoutEnginesTest.kt
@@ -94,6 +94,13 @@
             assertEquals(100_000, turns.single().second.tokenBudget)
         }
 
+    /** Guards against a 503, or a 404 that ends the program: the turn that the call names was looked for at all homes. */
+    @Test
+    fun `a stream with a token budget runs whatever earlier turn it names if its route keeps no history`() =
+        gateway(withoutHistory(MOVED)) {
+            assertEquals(200, send("b", headers = SampleDocuments.turnHeaders("b", "p", previous = "a")))
+        }
+
     @Test
     fun `a stream without a budget on a route without history is forwarded like a plain call`() =
         gateway(withoutHistory(MOVED)) {
