The watch of a caller's connection has no read pending once it is stopped

What callers saw: a kept connection was closed without an answer to the next request.

Cause: CallerWatch.readIfWatching checked its state, read nothing and registered for the next read while stop() ran in between, which found nothing to cancel.

Evidence: both tests of CallerWatchTest failed before (a read was pending; `[stopped, handed over GET]`) and pass. The tests of forwarding, GatewayTest and MisattributedAnswersTest pass.

--- a/forwarding/src/main/kotlin/sycamore/forwarding/CallerWatch.kt
+++ b/forwarding/src/main/kotlin/sycamore/forwarding/CallerWatch.kt
@@ -6,7 +6,6 @@
 import org.eclipse.jetty.util.Callback
 import java.io.IOException
 import java.util.concurrent.CancellationException
-import java.util.concurrent.atomic.AtomicReference
 
 /**
  * Detects that a caller closes its connection while its request is being served.
@@ -21,55 +20,60 @@
     private enum class State { IDLE, WATCHING, STOPPED }
 
     private val endPoint = connection.endPoint as? AbstractEndPoint
-    private val state = AtomicReference(State.IDLE)
+
+    /** Held while this reads, so that no read is pending or under way once [stop] has returned. */
+    private val lock = Any()
+    private var state = State.IDLE
 
     /** Calls [onGone] if the connection is closed before [stop]. */
     fun start(onGone: () -> Unit) {
-        if (endPoint == null || !state.compareAndSet(State.IDLE, State.WATCHING)) return
-        val readable = Callback.from({ readIfWatching(onGone) }, { failure -> connectionClosed(failure, onGone) })
-        // This fails if Jetty itself is already reading. The close is then detected by a failing write.
-        if (!endPoint.tryFillInterested(readable)) state.set(State.STOPPED)
+        synchronized(lock) {
+            if (endPoint == null || state != State.IDLE) return
+            state = State.WATCHING
+            // This fails if Jetty itself is already reading. The close is then detected by a failing write.
+            if (!endPoint.tryFillInterested(readCallback(onGone))) state = State.STOPPED
+        }
     }
 
     /**
      * Ends the watch. To be called before the last byte of the response, since Jetty reads the next request after that.
      */
     fun stop() {
-        if (state.getAndSet(State.STOPPED) == State.WATCHING) {
-            endPoint?.fillInterest?.onFail(CancellationException("the caller watch was stopped"))
+        synchronized(lock) {
+            val isWatching = state == State.WATCHING
+            state = State.STOPPED
+            if (isWatching) endPoint?.fillInterest?.onFail(CancellationException("the caller watch was stopped"))
         }
     }
 
-    private fun readIfWatching(onGone: () -> Unit) {
-        if (state.get() != State.WATCHING) return
-        val buffer = BufferUtil.allocate(READ_BYTES)
-        val count =
-            try {
-                endPoint!!.fill(buffer)
-            } catch (_: IOException) {
-                -1
-            }
-        when {
-            count < 0 -> connectionClosed(null, onGone)
-            count == 0 ->
-                if (!endPoint!!.tryFillInterested(
-                        Callback.from({ readIfWatching(onGone) }, { connectionClosed(it, onGone) }),
-                    )
-                ) {
-                    return
+    private fun readCallback(onGone: () -> Unit) =
+        Callback.from({ if (isClosed(onGone)) connectionClosed(onGone) }, { failure ->
+            if (failure !is CancellationException) connectionClosed(onGone)
+        })
+
+    /** Reads what the caller has sent, and waits for more if that was nothing. Returns whether the caller closed the connection. */
+    private fun isClosed(onGone: () -> Unit): Boolean =
+        synchronized(lock) {
+            if (state != State.WATCHING) return false
+            val buffer = BufferUtil.allocate(READ_BYTES)
+            val count =
+                try {
+                    endPoint!!.fill(buffer)
+                } catch (_: IOException) {
+                    -1
                 }
-            // The caller has begun its next request, so it is still connected. The bytes are parsed after this
-            // response.
-            else -> (connection as? Connection.UpgradeTo)?.onUpgradeTo(buffer)
+            // The caller has begun its next request, so it is still connected. The bytes are parsed after this response.
+            if (count > 0) (connection as? Connection.UpgradeTo)?.onUpgradeTo(buffer)
+            if (count == 0) endPoint!!.tryFillInterested(readCallback(onGone))
+            count < 0
         }
-    }
 
-    private fun connectionClosed(
-        failure: Throwable?,
-        onGone: () -> Unit,
-    ) {
-        if (failure is CancellationException) return
-        if (state.compareAndSet(State.WATCHING, State.STOPPED)) onGone()
+    private fun connectionClosed(onGone: () -> Unit) {
+        synchronized(lock) {
+            if (state != State.WATCHING) return
+            state = State.STOPPED
+        }
+        onGone()
     }
 
     private companion object {
