The rehearsal's process ends when a request of it fails

An exception in main left the daemons' threads running, so that the build waited for its limit of 900 s (docs/incidents/kept-connection-closed.md).

--- a/rehearsal/src/main/kotlin/sycamore/rehearsal/Main.kt
+++ b/rehearsal/src/main/kotlin/sycamore/rehearsal/Main.kt
@@ -13,6 +13,11 @@
  * starts. Exits with status 1 unless all turns and calls succeed.
  */
 fun main(args: Array<String>) {
+    // Otherwise the daemons' threads would keep the process running.
+    Thread.currentThread().setUncaughtExceptionHandler { _, failure ->
+        failure.printStackTrace()
+        exitProcess(1)
+    }
     // Loads the classes with which the daemons parse their command line. The port is not used here.
     PlatformDaemon.metricsPort("sycamore-rehearsal", args)
     val folder = Files.createTempDirectory("rehearsal")
