--- a/review/bed-3/Bed.java
+++ b/review/bed-3/Bed.java
@@ -534,7 +534,7 @@
 
         void register(String state) {
             store.put("servers/" + id, "{\"service\":\"" + service + "\",\"address\":\"" + ip + ":" + port + "\",\"zone\":\"here\",\"version\":1,\"slots\":" + slots
-                + ",\"state\":\"" + state + "\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":1000}");
+                + ",\"state\":\"" + state + "\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":" + System.currentTimeMillis() + "}");
         }
 
         private void accept() {
